--- a/bench/_fleet_data.py
+++ b/bench/_fleet_data.py
@@ -3,7 +3,7 @@
 import time
 
 from citronweir import core
-from citronweir import platform
+from citronweir import metastore
 from citronweir import service
 
 INDEX = core.IndexName('readings')
@@ -145,7 +145,7 @@
         for at in range(2)
     )
     record = core.ConfigRecord(key, '', revision, ids, 0.0, contract)
-    return core.ConfigRecord(key, platform.encode_record(record), revision)
+    return core.ConfigRecord(key, metastore.encode_record(record), revision)
 
 
 def find_all_owners(
--- a/bench/_measure_control.py
+++ b/bench/_measure_control.py
@@ -8,7 +8,7 @@
 from bench import _slopes as slopes
 from bench import membership
 from citronweir import core
-from citronweir import platform
+from citronweir import metastore
 from citronweir.nodes import _codec as codec
 
 SEED = 1
@@ -214,7 +214,7 @@
         state = _load(raw)
         memory.append((count, tracemalloc.get_traced_memory()[0] / 1024))
         tracemalloc.stop()
-        change = platform.decode_record(_make_record(0, count + 1))[0]
+        change = metastore.decode_record(_make_record(0, count + 1))[0]
         merge.append((count, _time_merge(state, change)))
         apply.append((count, _time_apply(state)))
         whole.append((count, slopes.time_call(functools.partial(_load, raw))))
@@ -245,7 +245,7 @@
 
 
 def _load(raw):
-    records = tuple(platform.decode_record(item)[0] for item in raw)
+    records = tuple(metastore.decode_record(item)[0] for item in raw)
     batch = core.ConfigBatch(records, core.Revision(len(raw)))
     return core.merge_batch(core.ConfigState(), batch)[0]
 
--- a/bench/_measure_platform.py
+++ b/bench/_measure_platform.py
@@ -11,7 +11,7 @@
 from bench import _fleet_data as fleet_data
 from bench import _slopes as slopes
 from citronweir import core
-from citronweir import platform
+from citronweir import metastore
 from citronweir import service
 from citronweir.service import _config as configs
 from fakes import fleet
@@ -46,10 +46,10 @@
             shown['body'] = body
 
             async def fetch():
-                vms = await platform.fetch_vms(
+                vms = await metastore.fetch_vms(
                     session, f'http://127.0.0.1:{port}'
                 )
-                if isinstance(vms, platform.VmsError):
+                if isinstance(vms, metastore.VmsError):
                     raise RuntimeError(vms.detail)
 
             points.append((count, await slopes.time_async(fetch, 4)))
@@ -139,8 +139,8 @@
         wall_now=time.time,
         sleep=lambda seconds: asyncio.sleep(0),
         rng=random.Random(1),
-        decode=platform.decode_record,
-        encode=platform.encode_record,
+        decode=metastore.decode_record,
+        encode=metastore.encode_record,
         read_all=read_all,
         read_one=read_one,
         write=write,
--- a/bench/_planned_control.py
+++ b/bench/_planned_control.py
@@ -217,7 +217,7 @@
             slopes.predict(measured['vms'], entries) / 1e6 / period,
             list_kb,
             list_kb * 1024 / period,
-            'platform/_vms.py',
+            'metastore/_vms.py',
         ),
     ]
 
--- a/bench/_planned_paths.py
+++ b/bench/_planned_paths.py
@@ -8,7 +8,7 @@
 from bench import _slopes as slopes
 from citronweir.core import _gossip as gossip
 from citronweir.core import _routing as routing
-from citronweir.platform import _limits as limits
+from citronweir.metastore import _limits as limits
 from citronweir.programs import _wire_config as wire_config
 from citronweir.service import _config as configs
 
@@ -231,7 +231,7 @@
             'reply of a store in another region, before acceptance',
             KV_TIME + 2 * REGION_DELAY,
             'the clock starts when it arrives',
-            'platform/_kv.py',
+            'metastore/_kv.py',
         ),
         (
             'push to all peers of the data centre',
--- a/bench/_planned_roles.py
+++ b/bench/_planned_roles.py
@@ -82,7 +82,7 @@
             f'{rate * (nodes - 1):.0f} pushes/s; a list every {period:g} s',
             f'{at("vms", entries)} us for a list',
             f'{at("vms_bytes", entries)} KB while it reads',
-            '`service/_config.py`, `platform/_vms.py`',
+            '`service/_config.py`, `metastore/_vms.py`',
         ),
         (
             'configuration relay',
@@ -98,6 +98,6 @@
             f'{routing.WATCHERS * planned.DCS} watches',
             'not part of the system',
             'not part of the system',
-            '`platform/_kv.py`',
+            '`metastore/_kv.py`',
         ),
     ]
--- a/bench/baseline.py
+++ b/bench/baseline.py
@@ -17,7 +17,7 @@
 
 from citronweir import callers
 from citronweir import core
-from citronweir import platform
+from citronweir import metastore
 from citronweir import settings
 
 TRY_TIMEOUT = 0.5  # seconds
@@ -117,11 +117,11 @@
 ) -> None:
     """Polls every replica of the data centre until cancelled."""
     while True:
-        vms = await platform.fetch_vms(session, cfg.vms_url)
-        if not isinstance(vms, platform.VmsError):
+        vms = await metastore.fetch_vms(session, cfg.vms_url)
+        if not isinstance(vms, metastore.VmsError):
             held = []
             for vm in vms:
-                if vm.role is platform.VmRole.UPSTREAM and vm.dc == cfg.dc:
+                if vm.role is metastore.VmRole.UPSTREAM and vm.dc == cfg.dc:
                     held += await _poll_replica(session, view, vm)
             view.held = held
         await asyncio.sleep(STATUS_INTERVAL)
--- a/citronweir/core/_budget.py
+++ b/citronweir/core/_budget.py
@@ -62,6 +62,7 @@
         previous: Replies of the half window before.
         rotate_at: Monotonic second at which the halves change over.
         service: Mean seconds of a reply without its queue delay.
+        quantile: Share of replies that are not late.
         delay: Hedge delay as last worked out, or None.
     """
 
@@ -70,6 +71,7 @@
     rotate_at: float
     count: int = 0
     service: float = 0.0
+    quantile: float = HEDGE_QUANTILE
     delay: float | None = None
 
 
@@ -160,13 +162,34 @@
     """
     window = budgets.windows.get(index)
     if window is None:
-        window = _make_window(now, max(0.0, seconds - wait))
+        window = make_window(now, max(0.0, seconds - wait))
         budgets.windows[index] = window
+    note_window(window, seconds, now)
+    service = seconds - wait
+    window.service += (max(0.0, service) - window.service) * SERVICE_WEIGHT
+
+
+def make_window(
+    now: float, service: float = 0.0, quantile: float = HEDGE_QUANTILE
+) -> LatencyWindow:
+    """Builds an empty window.
+
+    Args:
+        now: Monotonic clock, seconds.
+        service: Seconds of a reply that are assumed at first.
+        quantile: Share of replies that are not late.
+    """
+    empty = [0] * BIN_COUNT
+    return LatencyWindow(
+        empty, empty[:], now + WINDOW, service=service, quantile=quantile
+    )
+
+
+def note_window(window: LatencyWindow, seconds: float, now: float) -> None:
+    """Records one latency; now and then works out the hedge delay."""
     if now >= window.rotate_at:
         _rotate(window, now)
     window.bins[_find_bin(seconds)] += 1
-    service = seconds - wait
-    window.service += (max(0.0, service) - window.service) * SERVICE_WEIGHT
     window.count += 1
     if window.count % REFRESH == 0 or window.count == MIN_SAMPLES:
         window.delay = _read_delay(window)
@@ -243,11 +266,6 @@
     return True
 
 
-def _make_window(now, service):
-    empty = [0] * BIN_COUNT
-    return LatencyWindow(empty, empty[:], now + WINDOW, service=service)
-
-
 def _rotate(window, now):
     stale = now >= window.rotate_at + WINDOW
     window.previous = [0] * BIN_COUNT if stale else window.bins
@@ -263,5 +281,5 @@
 
 
 def _read_delay(window):
-    delay = read_quantile(window, HEDGE_QUANTILE)
+    delay = read_quantile(window, window.quantile)
     return None if delay is None else max(delay, MIN_HEDGE_DELAY)
--- a/citronweir/core/_data.py
+++ b/citronweir/core/_data.py
@@ -26,6 +26,8 @@
 Fingerprint = typing.NewType('Fingerprint', str)
 ClaimToken = typing.NewType('ClaimToken', str)
 ConfigKey = typing.NewType('ConfigKey', str)
+ServiceName = typing.NewType('ServiceName', str)
+RouteName = typing.NewType('RouteName', str)
 
 # Exclusive upper end of the key space that the shards of an index divide.
 KEY_SPACE_END = 1 << 32
@@ -93,6 +95,7 @@
     QUARANTINED = 'quarantined'
     PLATFORM_UNAVAILABLE = 'platform_unavailable'
     INVALID_ID = 'invalid_id'
+    MISDIRECTED = 'misdirected'
 
 
 class UnknownReason(enum.Enum):
@@ -116,6 +119,28 @@
     RESULT_NOT_KEPT = 'result_not_kept'
 
 
+class Repeat(enum.Enum):
+    """Whether a request of a route may run more than once."""
+
+    IDEMPOTENT = 'idempotent'
+    NON_IDEMPOTENT = 'non_idempotent'
+
+
+class ListedState(enum.Enum):
+    """State of a replica in the registry of the platform."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+
+
+class AttemptKind(enum.Enum):
+    """Why a request is sent to a replica."""
+
+    FIRST = 'first'
+    HEDGE = 'hedge'
+    RETRY = 'retry'
+
+
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
 class KeyRange:
     """Half-open range of an index's key space."""
@@ -177,7 +202,83 @@
     drained: bool
 
 
-ConfigBody = Contract | FleetSettings | Drain
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Contract of an operator for the requests under one path.
+
+    Attributes:
+        host: Host name that the caller asks for, lower case.
+        prefix: Path prefix; begins and ends with a slash.
+        target: Seconds within which an answer has its full worth.
+        timeout: Longest time that a caller is kept waiting, seconds.
+        max_attempts: Replicas that one request may be sent to; for each
+            shard where there are shards.
+        splits: Services with their weights; empty where there are shards.
+        shards: Services that each hold a part of the answer.
+        top_k: Records in a merged answer.
+        min_coverage: Share of the shards that an answer needs.
+    """
+
+    name: RouteName
+    host: str
+    prefix: str
+    repeat: Repeat
+    rank: Rank
+    target: float
+    timeout: float
+    max_attempts: int
+    splits: tuple[tuple[ServiceName, float], ...] = ()
+    shards: tuple[ServiceName, ...] = ()
+    top_k: int = 0
+    min_coverage: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bounds on what a caller may send; bytes and seconds."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 262144
+    header_timeout: float = 3.0
+    idle_timeout: float = 15.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteTable:
+    """Routes of one version of the operators' configuration.
+
+    Attributes:
+        max_conns: Connections that a replica of each service accepts
+            from all callers together.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    max_conns: abc.Mapping[ServiceName, int]
+    limits: CallerLimits = CallerLimits()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedReplica:
+    """Replica of a service as the platform's registry lists it.
+
+    Attributes:
+        slots: Requests that it runs at the same time.
+        warmup: Seconds for which it is slow after its start.
+        epoch: Wall-clock millisecond of its start.
+    """
+
+    replica_id: ReplicaId
+    service: ServiceName
+    address: Address
+    dc: DataCentre
+    state: ListedState
+    slots: int = 1
+    warmup: float = 0.0
+    epoch: Epoch = Epoch(0)
+
+
+ConfigBody = Contract | FleetSettings | Drain | RouteTable | ListedReplica
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -909,3 +1010,112 @@
     members: tuple[Member, ...]
     replicas: tuple[Replica, ...]
     stopping: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """Request of a caller that goes on to replicas unchanged.
+
+    Attributes:
+        target: Path and query as the caller sent them.
+        headers: Fields to send on, without those of the connection.
+        budget: Seconds that the caller waits.
+    """
+
+    request_id: RequestId
+    method: str
+    host: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    budget: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Whole reply of a replica.
+
+    Attributes:
+        signature: The replica's proof of its own answer, or empty.
+        load: Running and waiting requests and slots, or None.
+        is_closing: Whether the replica ends the connection.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    signature: str = ''
+    load: tuple[int, int, int] | None = None
+    is_closing: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replied:
+    """The replica ran the request and sent a whole reply."""
+
+    reply: Reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """The replica did not run the request and never will."""
+
+    reason: NotRunReason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """The replica may have run the request; no usable reply came."""
+
+    reason: UnknownReason
+
+
+AttemptOutcome = Replied | NotRun | Lost
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forwarded:
+    """The reply of one replica is the answer."""
+
+    reply: Reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gathered:
+    """Merged answer of the shards of one version of the configuration.
+
+    Attributes:
+        signatures: One for each shard that is in.
+        missing: Shards that are left out.
+    """
+
+    body: bytes
+    signatures: tuple[str, ...]
+    missing: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Declined:
+    """The request has not run and never will.
+
+    Attributes:
+        retry_after: Seconds after which a new attempt makes sense.
+    """
+
+    reason: NotRunReason
+    retry_after: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoRoute:
+    """No route of the configuration in force matches the request."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unanswered:
+    """The request ran, or may have, without a usable answer."""
+
+    reason: FailureReason
+
+
+RequestOutcome = Forwarded | Gathered | Declined | NoRoute | Unanswered
--- /dev/null
+++ b/citronweir/core/_gathering.py
@@ -0,0 +1,71 @@
+"""Merges the parts of shards and decides when an answer is good enough.
+
+An answer's worth falls with the square of the shards that it leaves out,
+and to a small rest once the latency target has passed. At the target a
+sufficient answer therefore goes out as it is.
+"""
+
+from collections import abc
+import enum
+import heapq
+import math
+
+from citronweir.core import _data as data
+
+RECORD_BYTES = 16  # bytes of one record of a part
+# What an answer still needs after this node has sent it: the way to the
+# caller, and the caller's way here before the clock started.
+ANSWER_TIME = 0.006  # seconds
+
+
+class Verdict(enum.Enum):
+    """What to do with the parts that are in."""
+
+    WAIT = 'wait'
+    ANSWER = 'answer'
+    GIVE_UP = 'give_up'
+
+
+def min_parts(route: data.Route) -> int:
+    """Returns the parts that an answer needs at least."""
+    needed = math.ceil(route.min_coverage * len(route.shards) - 1e-9)
+    return max(1, needed)
+
+
+def judge_parts(
+    route: data.Route, parts: int, open_shards: int, is_due: bool
+) -> Verdict:
+    """Decides whether to answer with the parts that are in.
+
+    Args:
+        route: Route of the request.
+        parts: Shards that are in.
+        open_shards: Shards that may still come in.
+        is_due: Whether the latency target is reached.
+    """
+    needed = min_parts(route)
+    if parts + open_shards < needed:
+        return Verdict.GIVE_UP
+    if not open_shards or (is_due and parts >= needed):
+        return Verdict.ANSWER
+    return Verdict.WAIT
+
+
+def merge_parts(
+    route: data.Route, replies: abc.Collection[data.Reply]
+) -> data.Gathered:
+    """Merges parts into the greatest records, greatest first."""
+    records = (record for reply in replies for record in _split(reply.body))
+    return data.Gathered(
+        b''.join(heapq.nlargest(route.top_k, records)),
+        tuple(reply.signature for reply in replies),
+        len(route.shards) - len(replies),
+    )
+
+
+def _split(body):
+    whole = len(body) - len(body) % RECORD_BYTES
+    return (
+        body[start : start + RECORD_BYTES]
+        for start in range(0, whole, RECORD_BYTES)
+    )
--- /dev/null
+++ b/citronweir/core/_placement.py
@@ -0,0 +1,180 @@
+"""Chooses among the replicas of a service by the expected time to answer.
+
+A replica that pauses or hangs is recognised by a request that is out for
+longer than its answers explain; later requests avoid it meanwhile.
+"""
+
+from collections import abc
+import dataclasses
+
+from citronweir.core import _data as data
+
+# Seconds to an answer that are assumed before there is one.
+START_SAME_DC = 0.008
+START_SAME_REGION = 0.010
+START_OTHER_REGION = 0.030
+SMOOTHING = 0.2  # weight of the newest answer
+# An estimate moves back to its start within this time without answers, so
+# that a replica which was slow once is tried again.
+FORGET_TIME = 4.0  # seconds
+# A request that is out for this many times the expected seconds shows
+# that its replica is stalled.
+STALL_FACTOR = 3.0
+STALL_MIN = 0.025  # seconds
+# Seconds without new requests after a failure; doubles with each failure
+# in succession.
+AVOID_FIRST = 0.25
+AVOID_LIMIT = 4.0
+AVOID_PENALTY = 10.0  # seconds added to the estimate of such a replica
+# A reported queue says little after this time.
+LOAD_TIME = 0.5  # seconds
+WARMUP_FACTOR = 1.6
+
+
+@dataclasses.dataclass(slots=True)
+class ReplicaLoad:
+    """What one node observed of one replica.
+
+    Attributes:
+        start: Seconds to an answer that were assumed at first.
+        latency: Smoothed seconds to an answer.
+        updated: Monotonic second of the last answer.
+        out: Requests that are out, with the monotonic second of each.
+        failures: Failures in succession.
+        avoid_until: Monotonic second until which others are preferred.
+        warm_at: Monotonic second at which its cold start ends.
+        queued: Requests that wait at the replica, as it reported.
+        queued_at: Monotonic second of that report.
+    """
+
+    start: float
+    latency: float
+    updated: float
+    out: dict[int, float] = dataclasses.field(default_factory=dict)
+    failures: int = 0
+    avoid_until: float = 0.0
+    warm_at: float = 0.0
+    queued: int = 0
+    queued_at: float = -LOAD_TIME
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Vantage:
+    """Where a node stands: its data centre and the region of each."""
+
+    dc: data.DataCentre
+    regions: abc.Mapping[data.DataCentre, str]
+
+
+def make_load(
+    vantage: Vantage, replica: data.ListedReplica, now: float
+) -> ReplicaLoad:
+    """Builds the state of a replica that has not answered yet."""
+    start = start_estimate(vantage, replica.dc)
+    return ReplicaLoad(start, start, now, warm_at=now + replica.warmup)
+
+
+def start_estimate(vantage: Vantage, dc: data.DataCentre) -> float:
+    """Returns the seconds to an answer from a data centre, unobserved."""
+    if dc == vantage.dc:
+        return START_SAME_DC
+    here, there = vantage.regions.get(vantage.dc), vantage.regions.get(dc)
+    if here is not None and here == there:
+        return START_SAME_REGION
+    return START_OTHER_REGION
+
+
+def expected_time(load: ReplicaLoad, slots: int, now: float) -> float:
+    """Estimates the seconds to the answer of a new request.
+
+    Args:
+        load: What was observed of the replica.
+        slots: Requests that it runs at the same time.
+        now: Monotonic clock, seconds.
+    """
+    age = min(1.0, max(0.0, now - load.updated) / FORGET_TIME)
+    latency = load.latency + (load.start - load.latency) * age
+    waiting = len(load.out)
+    if now - load.queued_at < LOAD_TIME:
+        waiting += load.queued
+    expected = latency * (1.0 + max(0, waiting + 1 - slots) / max(1, slots))
+    if now < load.warm_at:
+        expected *= WARMUP_FACTOR
+    if load.out:
+        oldest = now - next(iter(load.out.values()))
+        if oldest > max(STALL_MIN, STALL_FACTOR * latency):
+            expected += oldest
+    if now < load.avoid_until:
+        expected += AVOID_PENALTY
+    return expected
+
+
+def choose_listed(
+    loads: abc.MutableMapping[data.ReplicaId, ReplicaLoad],
+    vantage: Vantage,
+    replicas: abc.Iterable[data.ListedReplica],
+    tried: abc.Container[data.ReplicaId],
+    now: float,
+    jitter: abc.Callable[[], float],
+) -> tuple[data.ListedReplica, float] | None:
+    """Chooses the replica with the shortest expected time to answer.
+
+    Args:
+        loads: What was observed; grows by replicas that are new.
+        vantage: Where this node stands.
+        replicas: Replicas to choose from.
+        tried: Replicas to leave out.
+        now: Monotonic clock, seconds.
+        jitter: Draws a factor about 1 for each candidate, which spreads
+            the requests of many nodes over replicas that look alike.
+
+    Returns:
+        The replica and its expected seconds, or None without one.
+    """
+    best, best_score, best_time = None, 0.0, 0.0
+    for replica in replicas:
+        if replica.replica_id in tried:
+            continue
+        load = loads.get(replica.replica_id)
+        if load is None:
+            load = make_load(vantage, replica, now)
+            loads[replica.replica_id] = load
+        seconds = expected_time(load, replica.slots, now)
+        score = seconds * jitter()
+        if best is None or score < best_score:
+            best, best_score, best_time = replica, score, seconds
+    return None if best is None else (best, best_time)
+
+
+def note_sent(load: ReplicaLoad, number: int, now: float) -> None:
+    """Notes that a request went out; numbers grow."""
+    load.out[number] = now
+
+
+def note_answer(load: ReplicaLoad, number: int, now: float) -> None:
+    """Notes the answer to a request."""
+    sent_at = load.out.pop(number, None)
+    if sent_at is None:
+        return
+    load.latency += SMOOTHING * (now - sent_at - load.latency)
+    load.updated = now
+    load.failures = 0
+    load.avoid_until = 0.0
+
+
+def note_failure_of(load: ReplicaLoad, number: int, now: float) -> None:
+    """Notes that a request ended without a usable answer."""
+    load.out.pop(number, None)
+    pause = min(AVOID_LIMIT, AVOID_FIRST * 2.0**load.failures)
+    load.failures += 1
+    load.avoid_until = now + pause
+
+
+def note_abandoned(load: ReplicaLoad, number: int) -> None:
+    """Notes that nobody waits for a request any more."""
+    load.out.pop(number, None)
+
+
+def note_reported(load: ReplicaLoad, queued: int, now: float) -> None:
+    """Notes the queue that a replica reported with an answer."""
+    load.queued, load.queued_at = queued, now
--- a/citronweir/platform/_claims.py
+++ b/citronweir/metastore/_claims.py
@@ -14,9 +14,9 @@
 
 from citronweir import core
 from citronweir import telemetry
-from citronweir.platform import _claim_records as records
-from citronweir.platform import _kv as kv
-from citronweir.platform import _limits as limits_
+from citronweir.metastore import _claim_records as records
+from citronweir.metastore import _kv as kv
+from citronweir.metastore import _limits as limits_
 
 # A claim is paid for with the write that ends it, so that a bound on
 # writes refuses new orders and not the results of those that ran.
--- a/citronweir/platform/_claims_test.py
+++ b/citronweir/metastore/_claims_test.py
@@ -6,8 +6,8 @@
 import pytest
 
 from citronweir import core
-from citronweir import platform
-from citronweir.platform import _claim_records as records
+from citronweir import metastore
+from citronweir.metastore import _claim_records as records
 from fakes import _store as stores
 from fakes import kv as fake
 
@@ -36,7 +36,7 @@
     """Guards against a lease for each order."""
     state, url, session = service
     clock = [1000.0]
-    store = platform.make_claim_store(
+    store = metastore.make_claim_store(
         session, url, None, time.monotonic, lambda: clock[0]
     )
     for number in range(5):
@@ -51,7 +51,7 @@
     """Guards against orders that wait in a row for a grant that hangs."""
     state, url, session = service
     state.faults.outage = 'hang'
-    store = platform.make_claim_store(session, url)
+    store = metastore.make_claim_store(session, url)
     began = time.monotonic()
     writes = [store.write(_key(n), CREATE, began + 0.2) for n in range(20)]
     assert set(await asyncio.gather(*writes)) == {core.ClaimUnsent()}
@@ -62,7 +62,7 @@
 async def test_settled_claim_stays_with_its_lease(service):
     """Guards against records that nothing ever deletes."""
     state, url, session = service
-    store = platform.make_claim_store(session, url)
+    store = metastore.make_claim_store(session, url)
     reply = await store.write(_key(1), CREATE, _deadline())
     done, _ = core.settle_claim(CLAIM, core.SubDone('ok'))
     step = core.WriteClaim(done, reply.revision)
@@ -79,7 +79,7 @@
 async def test_lost_lease_costs_one_order(service):
     """Guards against a node that refuses every order after a lapse."""
     state, url, session = service
-    store = platform.make_claim_store(session, url)
+    store = metastore.make_claim_store(session, url)
     await store.write(_key(1), CREATE, _deadline())
     stores.expire_leases(state.store, float('inf'))
     reply = await store.write(_key(2), CREATE, _deadline())
@@ -91,8 +91,8 @@
 async def test_results_are_kept_when_new_claims_are_over_the_limit(service):
     """Guards against orders that run and whose results are then lost."""
     _, url, session = service
-    limits = platform.make_limits(9, 0.01, time.monotonic())
-    store = platform.make_claim_store(session, url, limits)
+    limits = metastore.make_limits(9, 0.01, time.monotonic())
+    store = metastore.make_claim_store(session, url, limits)
     reply = await store.write(_key(1), CREATE, _deadline())
     refused = await store.write(_key(2), CREATE, _deadline())
     assert refused == core.ClaimUnsent()
@@ -106,8 +106,8 @@
 async def test_unreadable_claim_is_the_claim_of_another(service):
     """Guards against "not run" next to a record that may mean a run."""
     _, url, session = service
-    store = platform.make_claim_store(session, url)
-    await platform.put_if(
+    store = metastore.make_claim_store(session, url)
+    await metastore.put_if(
         session, url, records.claim_key(_key(1)), '{"state": "new"}', 0
     )
     reply = await store.write(_key(1), CREATE, _deadline())
@@ -119,7 +119,7 @@
 async def test_lost_reply_is_uncertain_and_outage_unread(service):
     """Guards against a lost reply that passes for a refusal."""
     state, url, session = service
-    store = platform.make_claim_store(session, url)
+    store = metastore.make_claim_store(session, url)
     state.faults.lost_replies = 1
     reply = await store.write(_key(1), CREATE, _deadline())
     assert reply == core.ClaimUncertain()
--- a/citronweir/platform/_kv.py
+++ b/citronweir/metastore/_kv.py
@@ -15,7 +15,7 @@
 
 import aiohttp
 
-from citronweir.platform import _limits as limits_
+from citronweir.metastore import _limits as limits_
 
 CALL_TIMEOUT = 2.0  # seconds
 
--- a/citronweir/platform/_kv_test.py
+++ b/citronweir/metastore/_kv_test.py
@@ -6,8 +6,8 @@
 from aiohttp import test_utils
 import pytest
 
-from citronweir import platform
-from citronweir.platform import _limits as limits_
+from citronweir import metastore
+from citronweir.metastore import _limits as limits_
 from fakes import _store as stores
 from fakes import kv as fake
 
@@ -26,22 +26,24 @@
 
 async def _put(service, value, expected, **options):
     _, url, session = service
-    return await platform.put_if(session, url, KEY, value, expected, **options)
+    return await metastore.put_if(
+        session, url, KEY, value, expected, **options
+    )
 
 
 async def _read(service, **options):
     _, url, session = service
-    return await platform.read_key(session, url, KEY, **options)
+    return await metastore.read_key(session, url, KEY, **options)
 
 
 async def test_conditional_write_names_the_record_that_stands(service):
     """Guards against a lost update and a conflict without its winner."""
     first = await _put(service, 'one', 0)
-    assert isinstance(first, platform.Applied)
-    pair = platform.KvPair(KEY, 'one', first.revision)
-    assert await _put(service, 'two', 0) == platform.Conflict(pair)
+    assert isinstance(first, metastore.Applied)
+    pair = metastore.KvPair(KEY, 'one', first.revision)
+    assert await _put(service, 'two', 0) == metastore.Conflict(pair)
     assert isinstance(
-        await _put(service, 'two', first.revision), platform.Applied
+        await _put(service, 'two', first.revision), metastore.Applied
     )
     assert (await _read(service))[0].value == 'two'
 
@@ -50,8 +52,8 @@
     """Guards against a lost reply that passes for a failed write."""
     service[0].faults.lost_replies = 1
     reply = await _put(service, 'one', 0)
-    assert reply.fault is platform.KvFault.NO_REPLY
-    assert not platform.is_not_applied(reply)
+    assert reply.fault is metastore.KvFault.NO_REPLY
+    assert not metastore.is_not_applied(reply)
     assert (await _read(service))[0].value == 'one'
 
 
@@ -59,9 +61,9 @@
     """Guards against a delayed write that takes effect after a fence."""
     service[0].faults.delayed_writes = 1
     reply = await _put(service, 'late', 0)
-    assert not platform.is_not_applied(reply)
+    assert not metastore.is_not_applied(reply)
     assert (await _read(service))[0] is None
-    assert isinstance(await _put(service, 'fence', 0), platform.Applied)
+    assert isinstance(await _put(service, 'fence', 0), metastore.Applied)
     end = time.monotonic() + 5 * service[0].faults.write_delay
     while time.monotonic() < end:
         assert (await _read(service))[0].value == 'fence'
@@ -78,19 +80,19 @@
         await _put(service, 'one', 0, timeout=0.2),
     ]
     for reply in replies:
-        assert reply.fault is platform.KvFault.NO_REPLY
+        assert reply.fault is metastore.KvFault.NO_REPLY
     setattr(service[0].faults, fault, type(value)())
-    assert isinstance(await _put(service, 'one', 0), platform.Applied)
+    assert isinstance(await _put(service, 'one', 0), metastore.Applied)
 
 
 async def test_unreachable_service_has_taken_no_effect(service):
     """Guards against Unknown for a write that was never sent."""
     _, _, session = service
     port = test_utils.unused_port()
-    reply = await platform.put_if(
+    reply = await metastore.put_if(
         session, f'http://127.0.0.1:{port}', KEY, 'one', 0
     )
-    assert platform.is_not_applied(reply)
+    assert metastore.is_not_applied(reply)
 
 
 async def test_stale_read_is_older_than_the_write(service):
@@ -105,32 +107,32 @@
 async def test_lease_ends_its_pairs_and_refuses_new_ones(service):
     """Guards against a write on a lost lease that is taken as possible."""
     _, url, session = service
-    lease = await platform.grant_lease(session, url, 60)
+    lease = await metastore.grant_lease(session, url, 60)
     first = await _put(service, 'one', 0, lease=lease.lease_id)
     await _put(service, 'two', first.revision, keep_lease=True)
     async with session.post(f'{url}/faults', json={'lapse_leases': True}):
         pass
     assert (await _read(service))[0] is None
     reply = await _put(service, 'three', 0, lease=lease.lease_id)
-    assert reply.fault is platform.KvFault.LEASE_GONE
-    assert platform.is_not_applied(reply)
+    assert reply.fault is metastore.KvFault.LEASE_GONE
+    assert metastore.is_not_applied(reply)
 
 
 async def test_calls_over_the_share_are_not_sent(service):
     """Guards against a node that exceeds its share of the rates."""
     _, url, session = service
-    limits = platform.make_limits(0.1, 0.1, time.monotonic())
+    limits = metastore.make_limits(0.1, 0.1, time.monotonic())
     replies = [await _read(service, limits=limits) for _ in range(9)]
-    refused = [item for item in replies if isinstance(item, platform.KvError)]
+    refused = [item for item in replies if isinstance(item, metastore.KvError)]
     assert len(refused) == 9 - limits_.MIN_BURST
-    assert refused[0].fault is platform.KvFault.OVER_LIMIT
+    assert refused[0].fault is metastore.KvFault.OVER_LIMIT
     async with session.get(f'{url}/calls') as resp:
         assert (await resp.json())['range'] == limits_.MIN_BURST
 
 
 def test_bucket_keeps_its_rate():
     """Guards against a burst that repeats or a debt that grows."""
-    bucket = platform.make_limits(10.0, 10.0, 0.0).writes
+    bucket = metastore.make_limits(10.0, 10.0, 0.0).writes
     waits = [limits_.take(bucket, step / 1000) for step in range(10_000)]
     allowed = sum(wait is not None for wait in waits)
     assert 100 <= allowed <= 10 * 10 + 10 + 10 * limits_.MAX_WAIT + 1
@@ -140,7 +142,7 @@
 @contextlib.asynccontextmanager
 async def _watch(service, start, idle=1.0):
     _, url, session = service
-    batches = platform.watch_prefix(session, url, PREFIX, start, idle=idle)
+    batches = metastore.watch_prefix(session, url, PREFIX, start, idle=idle)
     async with contextlib.aclosing(batches):
         yield batches
 
@@ -148,7 +150,7 @@
 async def test_watch_delivers_each_change_with_its_revision(service):
     """Guards against a change or deletion that a watch skips."""
     _, url, session = service
-    lease = await platform.grant_lease(session, url, 60)
+    lease = await metastore.grant_lease(session, url, 60)
     first = await _put(service, 'one', 0, lease=lease.lease_id)
     async with _watch(service, first.revision) as batches:
         batch = await anext(batches)
@@ -161,18 +163,18 @@
             pass
         while not (batch := await anext(batches)).deletions:
             pass
-        gone = platform.Deletion(KEY, second.revision + 1)
+        gone = metastore.Deletion(KEY, second.revision + 1)
         assert batch.deletions == (gone,)
         progress = await anext(batches)
-        assert progress == platform.WatchBatch(second.revision + 1)
+        assert progress == metastore.WatchBatch(second.revision + 1)
 
 
 @pytest.mark.parametrize(
     ('faults', 'fault'),
     [
-        ({'mute_watches': True}, platform.KvFault.WATCH_SILENT),
-        ({'outage': 'hang'}, platform.KvFault.WATCH_SILENT),
-        ({'break_watches': True}, platform.KvFault.WATCH_ENDED),
+        ({'mute_watches': True}, metastore.KvFault.WATCH_SILENT),
+        ({'outage': 'hang'}, metastore.KvFault.WATCH_SILENT),
+        ({'break_watches': True}, metastore.KvFault.WATCH_ENDED),
     ],
 )
 async def test_dead_watch_ends_with_an_error(service, faults, fault):
@@ -192,14 +194,14 @@
     service[0].store.compacted = first.revision
     async with _watch(service, first.revision) as batches:
         items = [item async for item in batches]
-    assert items[-1].fault is platform.KvFault.WATCH_COMPACTED
+    assert items[-1].fault is metastore.KvFault.WATCH_COMPACTED
 
 
 async def test_delayed_events_come_late_and_whole(service):
     """Guards against progress that overtakes a delayed event."""
     service[0].faults.watch_delay = 0.3
     async with _watch(service, 0) as batches:
-        assert isinstance(await anext(batches), platform.WatchBatch)
+        assert isinstance(await anext(batches), metastore.WatchBatch)
         put = await _put(service, 'one', 0)
         while not (batch := await anext(batches)).pairs:
             assert batch.revision < put.revision
--- a/citronweir/platform/_watch.py
+++ b/citronweir/metastore/_watch.py
@@ -11,8 +11,8 @@
 
 import aiohttp
 
-from citronweir.platform import _kv as kv
-from citronweir.platform import _limits as limits_
+from citronweir.metastore import _kv as kv
+from citronweir.metastore import _limits as limits_
 
 # An event or a progress notification is due within this time.
 WATCH_IDLE = 5.0  # seconds
--- a/citronweir/platform/__init__.py
+++ b/citronweir/platform/__init__.py
@@ -1,30 +1,26 @@
-"""The platform: its key-value service and its VM list."""
+"""The users' platform: its settings, store, callers and replicas.
 
-from citronweir.platform._claims import ClaimStore
-from citronweir.platform._claims import make_claim_store
-from citronweir.platform._kv import Applied
-from citronweir.platform._kv import Conflict
-from citronweir.platform._kv import grant_lease
-from citronweir.platform._kv import is_not_applied
-from citronweir.platform._kv import KvError
-from citronweir.platform._kv import KvFault
-from citronweir.platform._kv import KvPair
-from citronweir.platform._kv import Lease
-from citronweir.platform._kv import make_session
-from citronweir.platform._kv import put_if
-from citronweir.platform._kv import read_key
-from citronweir.platform._kv import read_prefix
-from citronweir.platform._limits import CallLimits
-from citronweir.platform._limits import make_limits
-from citronweir.platform._records import CONTRACTS_PREFIX
-from citronweir.platform._records import decode_record
-from citronweir.platform._records import encode_contract
-from citronweir.platform._records import encode_record
-from citronweir.platform._vms import fetch_vms
-from citronweir.platform._vms import Vm
-from citronweir.platform._vms import VmRole
-from citronweir.platform._vms import VmsError
-from citronweir.platform._vms import VmState
-from citronweir.platform._watch import Deletion
-from citronweir.platform._watch import watch_prefix
-from citronweir.platform._watch import WatchBatch
+Everything here translates between the platform's messages and the core
+types; no other package knows the platform's names.
+"""
+
+from citronweir.platform._boot import Boot
+from citronweir.platform._boot import BootError
+from citronweir.platform._boot import read_boot
+from citronweir.platform._catalogue import decode_item
+from citronweir.platform._ingress import close_ingress
+from citronweir.platform._ingress import Handle
+from citronweir.platform._ingress import Ingress
+from citronweir.platform._ingress import start_ingress
+from citronweir.platform._readiness import start_readiness
+from citronweir.platform._replicas import decode_reply
+from citronweir.platform._replicas import make_encoder
+from citronweir.platform._replicas import make_is_own
+from citronweir.platform._store import Changes
+from citronweir.platform._store import Item
+from citronweir.platform._store import Listing
+from citronweir.platform._store import make_store_session
+from citronweir.platform._store import read_all
+from citronweir.platform._store import StoreFault
+from citronweir.platform._store import StoreRefusal
+from citronweir.platform._store import wait_changes
--- /dev/null
+++ b/citronweir/platform/_boot.py
@@ -0,0 +1,129 @@
+"""Reads the settings file that the platform lays for each process.
+
+The file has the platform's format and names; the record has ours. Fields
+that are not known are ignored, since new ones may come.
+"""
+
+from collections import abc
+import dataclasses
+import os
+import pathlib
+import tomllib
+
+from citronweir import core
+from citronweir.platform import _names as names
+
+_DEFAULT_PATH = '/etc/citronweir/settings.toml'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Boot:
+    """Where a node runs and what the platform promises and asks.
+
+    Attributes:
+        regions: Region of each data centre.
+        callers: Listener for callers.
+        readiness: Listener for the platform's readiness checks.
+        node_ports: First and last port that nodes may use between them.
+        store: Address of the platform's store.
+        heartbeat: Seconds between two writes of a replica.
+        drain_time: Seconds after which a draining replica must get no
+            new request.
+        apply_time: Seconds after which a configuration is in force.
+        stop_time: Seconds between SIGTERM and SIGKILL.
+        extra_ratio: Arrivals at a service beyond the first, for each
+            request, over all nodes.
+        extra_slack: The same in a window, beyond the ratio.
+        extra_window: Length of the window, seconds.
+    """
+
+    node_id: core.NodeId
+    dc: core.DataCentre
+    regions: abc.Mapping[core.DataCentre, str]
+    host: str
+    callers: core.Address
+    readiness: core.Address | None
+    node_ports: tuple[int, int]
+    store: core.Address
+    heartbeat: float
+    drain_time: float
+    apply_time: float
+    stop_time: float
+    extra_ratio: float
+    extra_slack: float
+    extra_window: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BootError:
+    """One field of the settings file that cannot be used."""
+
+    field: str
+    message: str
+
+    def __str__(self) -> str:
+        return f'{self.field}: {self.message}'
+
+
+def read_boot(
+    environ: abc.Mapping[str, str] = os.environ,
+) -> Boot | BootError:
+    """Reads the settings file that the environment names."""
+    path = environ.get(names.SETTINGS_VARIABLE, _DEFAULT_PATH)
+    try:
+        raw = tomllib.loads(pathlib.Path(path).read_text(encoding='utf-8'))
+    except (OSError, ValueError) as exc:
+        return BootError(path, str(exc))
+    return decode_boot(raw)
+
+
+def decode_boot(raw: abc.Mapping[str, object]) -> Boot | BootError:
+    """Decodes the fields of the settings file."""
+    try:
+        return _decode(raw)
+    except KeyError as exc:
+        return BootError(str(exc.args[0]), 'missing')
+    except (AttributeError, TypeError, ValueError) as exc:
+        return BootError('settings', str(exc))
+
+
+def parse_address(text: str) -> core.Address:
+    """Parses an IP number with a port.
+
+    Raises:
+        ValueError: It has another form.
+    """
+    host, _, port = text.rpartition(':')
+    if not host:
+        raise ValueError(f'no address: {text!r}')
+    return core.Address(host, int(port))
+
+
+def _decode(raw):
+    bounds, listen = raw.get('bounds', {}), raw['listen']
+    first, last = raw['internal_ports']
+    readiness = listen.get('readiness')
+    return Boot(
+        node_id=core.NodeId(raw['node']),
+        dc=core.DataCentre(raw['zone']),
+        regions={
+            core.DataCentre(zone): str(region)
+            for zone, region in raw.get('zones', {}).items()
+        },
+        host=str(raw['ip']),
+        callers=parse_address(listen['front']),
+        readiness=parse_address(readiness) if readiness else None,
+        node_ports=(int(first), int(last)),
+        store=parse_address(raw['platform']['address']),
+        heartbeat=_seconds(raw, 'heartbeat_ms', 1200),
+        drain_time=_seconds(bounds, 'drain_ms', 3000),
+        apply_time=_seconds(bounds, 'config_apply_ms', 3000),
+        stop_time=float(bounds.get('grace_s', 6.0)),
+        extra_ratio=float(bounds.get('retry_ratio', 0.1)),
+        extra_slack=float(bounds.get('retry_slack', 20.0)),
+        extra_window=float(bounds.get('retry_window_s', 10.0)),
+    )
+
+
+def _seconds(fields, name, default):
+    return float(fields.get(name, default)) / 1000.0
--- /dev/null
+++ b/citronweir/platform/_store.py
@@ -0,0 +1,177 @@
+"""Reads the platform's store over its HTTP interface.
+
+Calls are priced and may be refused, delayed or lost, so each ends in a
+tagged result within its time and the caller decides what to do next.
+"""
+
+import asyncio
+import base64
+import dataclasses
+import enum
+import json
+
+import aiohttp
+
+from citronweir import core
+from citronweir.platform import _names as names
+
+READ_TIME = 1.0  # seconds for one page
+# What a watch may take beyond the time that it was asked to wait.
+WATCH_SLACK = 1.0  # seconds
+MAX_PAGES = 200  # about 100,000 entries
+
+
+class StoreFault(enum.Enum):
+    """Why a call has no usable reply."""
+
+    COMPACTED = 'compacted'
+    REFUSED = 'refused'
+    NO_REPLY = 'no_reply'
+    MALFORMED = 'malformed'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreRefusal:
+    """A call without a usable reply."""
+
+    fault: StoreFault
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """Key that was written; an empty value means that it was removed."""
+
+    key: str
+    value: str
+    revision: core.Revision
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listing:
+    """All items as of some revision or later; it is no snapshot."""
+
+    items: tuple[Item, ...]
+    revision: core.Revision
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """Changes after a revision, up to the one reached."""
+
+    items: tuple[Item, ...]
+    revision: core.Revision
+
+
+def make_store_session() -> aiohttp.ClientSession:
+    """Builds the session for calls of the store."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=4, use_dns_cache=False),
+        auto_decompress=False,
+    )
+
+
+async def read_all(
+    session: aiohttp.ClientSession, store: core.Address
+) -> Listing | StoreRefusal:
+    """Reads all items, page by page.
+
+    The revision is that of the first page: what changed while the pages
+    were read comes again with the changes after it.
+    """
+    items, revision, after = [], None, None
+    for _ in range(MAX_PAGES):
+        params = {'path_prefix': ''}
+        if after is not None:
+            params['after'] = after
+        fields = await _get(
+            session, store, names.RANGE_PATH, params, READ_TIME
+        )
+        if isinstance(fields, StoreRefusal):
+            return fields
+        try:
+            page = [_decode_item(item) for item in fields['items']]
+            if revision is None:
+                revision = int(fields['current_rev'])
+            has_more = bool(fields['has_more'])
+        except (KeyError, TypeError, ValueError) as exc:
+            return StoreRefusal(StoreFault.MALFORMED, repr(exc))
+        items += page
+        if not has_more or not page:
+            break
+        after = page[-1].key
+    return Listing(tuple(items), core.Revision(revision))
+
+
+async def wait_changes(
+    session: aiohttp.ClientSession,
+    store: core.Address,
+    after: core.Revision,
+    wait: float,
+) -> Changes | StoreRefusal:
+    """Waits for changes after a revision.
+
+    Args:
+        session: Client session.
+        store: Address of the store.
+        after: Revision up to which the caller has everything.
+        wait: Seconds after which the store answers without a change.
+
+    Returns:
+        The changes, maybe none. After COMPACTED the caller must read
+        everything anew.
+    """
+    params = {
+        'path_prefix': '',
+        'after': str(after),
+        'wait_ms': str(round(wait * 1000)),
+    }
+    fields = await _get(
+        session, store, names.WATCH_PATH, params, wait + WATCH_SLACK
+    )
+    if isinstance(fields, StoreRefusal):
+        return fields
+    try:
+        return Changes(
+            tuple(_decode_item(item) for item in fields['events']),
+            core.Revision(int(fields['current_rev'])),
+        )
+    except (KeyError, TypeError, ValueError) as exc:
+        return StoreRefusal(StoreFault.MALFORMED, repr(exc))
+
+
+async def _get(session, store, path, params, seconds):
+    url = f'http://{store.host}:{store.port}{path}'
+    timeout = aiohttp.ClientTimeout(total=seconds)
+    try:
+        async with session.get(url, params=params, timeout=timeout) as resp:
+            raw = await resp.read()
+    except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as exc:
+        return StoreRefusal(StoreFault.NO_REPLY, type(exc).__name__)
+    if resp.status == 410:
+        return StoreRefusal(StoreFault.COMPACTED, 'history dropped')
+    if resp.status != 200:
+        return StoreRefusal(StoreFault.REFUSED, f'HTTP status {resp.status}')
+    try:
+        fields = json.loads(raw)
+    except ValueError as exc:
+        return StoreRefusal(StoreFault.MALFORMED, str(exc))
+    if not isinstance(fields, dict):
+        return StoreRefusal(StoreFault.MALFORMED, 'not an object')
+    return fields
+
+
+def _decode_item(fields):
+    key, revision = fields['key'], core.Revision(int(fields['revision']))
+    if fields.get('removed'):
+        return Item(key, '', revision)
+    return Item(key, _decode_value(fields['value']), revision)
+
+
+def _decode_value(raw):
+    """Decodes a value; bytes that are no text can name nothing of ours."""
+    try:
+        text = base64.b64decode(raw, validate=True).decode()
+    except ValueError:
+        return '\ufffd'
+    return text or '\ufffd'
--- a/citronweir/programs/_compose.py
+++ b/citronweir/programs/_compose.py
@@ -10,9 +10,9 @@
 from citronweir import callers
 from citronweir import core
 from citronweir import listeners
+from citronweir import metastore
 from citronweir import nodes
 from citronweir import operators
-from citronweir import platform
 from citronweir import service
 from citronweir import settings
 from citronweir import telemetry
@@ -55,7 +55,7 @@
 
 
 async def _build_parts(cfg, stack):
-    kv_session = await stack.enter_async_context(platform.make_session())
+    kv_session = await stack.enter_async_context(metastore.make_session())
     pools = await stack.enter_async_context(upstreams.open_pools())
     rng = random.Random()
     now = time.monotonic()
@@ -80,7 +80,7 @@
         rng=rng,
         identity=identity,
         kv_session=kv_session,
-        call_limits=platform.make_limits(
+        call_limits=metastore.make_limits(
             cfg.kv_reads,
             cfg.kv_writes,
             now,
--- /dev/null
+++ b/citronweir/programs/_compose_front.py
@@ -0,0 +1,151 @@
+"""Composition root of a front node on the users' platform."""
+
+import asyncio
+import contextlib
+import random
+import signal
+import time
+
+from citronweir import core
+from citronweir import platform
+from citronweir import service
+from citronweir import telemetry
+from citronweir import upstreams
+from citronweir.programs import _front_parts as parts_
+from citronweir.programs import _front_requests as requests
+from citronweir.programs import _front_store as store
+
+UPKEEP_INTERVAL = 0.25  # seconds
+# Parts of the time between SIGTERM and SIGKILL. The balancer needs up to
+# two seconds to notice, and what is admitted until then still finishes.
+STOP_SERVE_SHARE = 0.6
+STOP_END_SHARE = 0.9
+# Nodes that share what is bounded over all of them.
+ASSUMED_NODES = 8
+
+
+async def run_front(boot: platform.Boot) -> None:
+    """Runs a front node until SIGTERM.
+
+    Args:
+        boot: Settings that the platform gave.
+
+    Raises:
+        OSError: A port cannot be opened.
+    """
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, stopped.set)
+    async with contextlib.AsyncExitStack() as stack:
+        parts = await _build_parts(boot, stack)
+        loop.add_signal_handler(signal.SIGHUP, _note_reload, parts)
+        await _serve(parts, stopped)
+    telemetry.log(telemetry.Event.NODE_STOPPED, node=boot.node_id)
+
+
+async def _build_parts(boot, stack):
+    session = await stack.enter_async_context(platform.make_store_session())
+    return parts_.FrontParts(
+        boot=boot,
+        rng=random.Random(),
+        session=session,
+        lanes=upstreams.Lanes(time.monotonic),
+        extra=core.ExtraLoad(
+            boot.extra_ratio, boot.extra_slack, ASSUMED_NODES
+        ),
+        vantage=core.Vantage(boot.dc, boot.regions),
+        log_limits=telemetry.make_log_limits(),
+    )
+
+
+async def _serve(parts, stopped):
+    boot = parts.boot
+    readiness = None
+    if boot.readiness is not None:
+        readiness = await platform.start_readiness(
+            boot.readiness, lambda: _is_ready(parts)
+        )
+    peers = requests.make_request_peers(parts)
+
+    async def handle(req):
+        return await service.run_request(peers, req)
+
+    ingress = await platform.start_ingress(
+        boot.callers, handle, lambda: _caller_limits(parts)
+    )
+    config_peers = store.make_config_peers(parts)
+    tasks = [
+        asyncio.create_task(_run_config(parts, config_peers)),
+        asyncio.create_task(
+            service.run_periodically(
+                'upkeep', UPKEEP_INTERVAL, lambda: _upkeep(parts), parts.rng
+            )
+        ),
+    ]
+    await stopped.wait()
+    await _stop(parts, ingress)
+    for task in tasks:
+        task.cancel()
+    upstreams.close_all(parts.lanes)
+    if readiness is not None:
+        await readiness.cleanup()
+
+
+async def _stop(parts, ingress):
+    """Serves on until the balancer has noticed, then ends what is left."""
+    boot = parts.boot
+    telemetry.log(telemetry.Event.NODE_STOPPING, node=boot.node_id)
+    parts.is_stopping = ingress.is_stopping = True
+    started = time.monotonic()
+    await asyncio.sleep(boot.stop_time * STOP_SERVE_SHARE)
+    end = started + boot.stop_time * STOP_END_SHARE
+    await platform.close_ingress(ingress, max(0.0, end - time.monotonic()))
+
+
+async def _run_config(parts, peers):
+    await service.load_config(peers, parts.config)
+    telemetry.log(
+        telemetry.Event.NODE_READY, node=parts.boot.node_id, dc=parts.boot.dc
+    )
+    await service.run_watch(peers, parts.config)
+
+
+def _is_ready(parts):
+    return parts.catalogue.index is not None and not parts.is_stopping
+
+
+def _caller_limits(parts):
+    index = parts.catalogue.index
+    return core.CallerLimits() if index is None else index.table.limits
+
+
+async def _upkeep(parts):
+    """Drops what is gone and keeps a connection to each replica open."""
+    now = time.monotonic()
+    directory, lanes = parts.catalogue.directory, parts.lanes
+    core.expire_entries(directory, now)
+    upstreams.keep_only(lanes, directory.replicas)
+    for replica_id in parts.loads.keys() - directory.replicas.keys():
+        del parts.loads[replica_id]
+    for event, count in telemetry.take_dropped(parts.log_limits).items():
+        telemetry.log(
+            telemetry.Event.LINES_DROPPED,
+            count=count,
+            number=event.value.number,
+        )
+    if parts.catalogue.index is None or parts.is_stopping:
+        return
+    for name in core.list_services(parts.catalogue.index.table):
+        for replica in core.list_usable(directory, name):
+            limit = requests.conn_limit(parts, name)
+            upstreams.warm(lanes, replica, limit)
+
+
+def _note_reload(parts):
+    """Logs SIGHUP; the settings that matter here need a restart."""
+    boot = platform.read_boot()
+    detail = 'no change that applies while running'
+    if isinstance(boot, platform.BootError):
+        detail = str(boot)
+    telemetry.log(telemetry.Event.SETTINGS_RELOADED, detail=detail)
--- /dev/null
+++ b/citronweir/programs/_front_parts.py
@@ -0,0 +1,48 @@
+"""Holds the state of a front node, which the wiring passes around."""
+
+import dataclasses
+import random
+
+import aiohttp
+
+from citronweir import core
+from citronweir import platform
+from citronweir import service
+from citronweir import telemetry
+from citronweir import upstreams
+
+
+@dataclasses.dataclass(slots=True)
+class FrontParts:
+    """State of a front node.
+
+    Attributes:
+        loads: What this node observed of each replica.
+        windows: Latencies by route and data centre of the replica.
+        sent: Number of the last request to a replica.
+        lost_at: Monotonic second since which the store is silent.
+        is_stopping: Whether SIGTERM has come.
+    """
+
+    boot: platform.Boot
+    rng: random.Random
+    session: aiohttp.ClientSession
+    lanes: upstreams.Lanes
+    extra: core.ExtraLoad
+    vantage: core.Vantage
+    log_limits: telemetry.LogLimits
+    config: service.Configuration = dataclasses.field(
+        default_factory=service.Configuration
+    )
+    catalogue: service.Catalogue = dataclasses.field(
+        default_factory=service.Catalogue
+    )
+    loads: dict[core.ReplicaId, core.ReplicaLoad] = dataclasses.field(
+        default_factory=dict
+    )
+    windows: dict[
+        tuple[core.RouteName, core.DataCentre], core.LatencyWindow
+    ] = dataclasses.field(default_factory=dict)
+    sent: int = 0
+    lost_at: float | None = None
+    is_stopping: bool = False
--- /dev/null
+++ b/citronweir/programs/_front_requests.py
@@ -0,0 +1,174 @@
+"""Wires the requests of a front node to the replicas."""
+
+import time
+
+from citronweir import core
+from citronweir import platform
+from citronweir import service
+from citronweir import telemetry
+from citronweir import upstreams
+from citronweir.programs import _front_parts as parts_
+
+# Spread of the estimates, so that nodes do not all choose one of two
+# replicas that look alike.
+JITTER = 0.15
+# One uneventful request in so many is logged.
+SAMPLE = 64
+# Share of a replica's connections that the nodes use between them.
+CONNS_SHARE = 0.9
+
+
+def make_request_peers(parts: parts_.FrontParts) -> service.RequestPeers:
+    """Builds what requests need from outside."""
+    directory = parts.catalogue.directory
+
+    def choose(name, tried):
+        return core.choose_listed(
+            parts.loads,
+            parts.vantage,
+            core.list_usable(directory, name),
+            tried,
+            time.monotonic(),
+            lambda: 1.0 + JITTER * parts.rng.random(),
+        )
+
+    return service.RequestPeers(
+        now=time.monotonic,
+        find_index=lambda: parts.catalogue.index,
+        list_usable=lambda name: core.list_usable(directory, name),
+        choose=choose,
+        send=_make_send(parts),
+        leave=lambda handle: upstreams.leave(parts.lanes, *handle),
+        withdraw=lambda handle: upstreams.withdraw(parts.lanes, *handle),
+        take_extra=lambda name, kind: core.take_extra(parts.extra, name, kind),
+        note_request=lambda name: core.note_request(parts.extra, name),
+        windows=parts.windows,
+        record=_make_record(parts),
+    )
+
+
+def conn_limit(parts: parts_.FrontParts, name: core.ServiceName) -> int:
+    """Returns the connections that this node may have to a replica."""
+    index = parts.catalogue.index
+    most = 1 if index is None else index.table.max_conns.get(name, 1)
+    return max(1, int(most * CONNS_SHARE / max(1, parts.extra.nodes)))
+
+
+def _make_send(parts):
+    encoders = {}
+
+    def send(req, replica, rank, deadline, take):
+        # All attempts of a request follow one another closely, so only
+        # the encoder of the last request is worth keeping.
+        if encoders.get('id') is not req:
+            encoders['id'] = req
+            encoders['encode'] = platform.make_encoder(req)
+            encoders['own'] = platform.make_is_own(req.request_id)
+        encode = encoders['encode']
+        load = parts.loads[replica.replica_id]
+        parts.sent += 1
+        number, sent_at = parts.sent, time.monotonic()
+        core.note_sent(load, number, sent_at)
+
+        def on_end(outcome):
+            now = time.monotonic()
+            _learn(parts, replica, load, number, outcome, now)
+            if not isinstance(outcome, core.Replied):
+                _log_failure(parts, req, replica, load, outcome, now - sent_at)
+            take(outcome, now - sent_at)
+
+        exchange = upstreams.Exchange(
+            rank,
+            deadline,
+            lambda left: encode(replica.replica_id, left),
+            platform.decode_reply,
+            encoders['own'],
+            on_end,
+        )
+        upstreams.submit(
+            parts.lanes, replica, conn_limit(parts, replica.service), exchange
+        )
+        return replica.replica_id, exchange
+
+    return send
+
+
+def _learn(parts, replica, load, number, outcome, now):
+    match outcome:
+        case core.Replied(reply):
+            if reply.status >= 500:
+                core.note_failure_of(load, number, now)
+            else:
+                core.note_answer(load, number, now)
+            if reply.load is not None:
+                core.note_reported(load, reply.load[1], now)
+        case core.NotRun(core.NotRunReason.MISDIRECTED):
+            core.note_abandoned(load, number)
+            core.mark_misplaced(parts.catalogue.directory, replica)
+        case core.NotRun(core.NotRunReason.CANCELLED):
+            core.note_abandoned(load, number)
+        case core.NotRun(core.NotRunReason.DEADLINE_PASSED):
+            core.note_abandoned(load, number)
+        case core.NotRun(core.NotRunReason.QUEUE_FULL):
+            core.note_abandoned(load, number)
+        case _:
+            core.note_failure_of(load, number, now)
+
+
+def _log_failure(parts, req, replica, load, outcome, seconds):
+    event = telemetry.Event.REPLICA_FAILED
+    if outcome.reason is core.NotRunReason.CANCELLED:
+        return
+    if telemetry.may_log(parts.log_limits, event, time.monotonic()):
+        telemetry.log(
+            event,
+            replica=replica.replica_id,
+            service=replica.service,
+            outcome=f'{type(outcome).__name__} {outcome.reason.value}',
+            request=req.request_id,
+            ms=round(seconds * 1000, 1),
+            failures=load.failures,
+        )
+
+
+def _make_record(parts):
+    def record(report):
+        event = _choose_event(report)
+        if event is telemetry.Event.REQUEST_SERVED:
+            if hash(report.request_id) % SAMPLE:
+                return
+        if telemetry.may_log(parts.log_limits, event, time.monotonic()):
+            telemetry.log(event, **_describe(parts, report))
+
+    return record
+
+
+def _choose_event(report):
+    match report.outcome:
+        case core.Declined():
+            return telemetry.Event.REQUEST_DECLINED
+        case core.Unanswered():
+            return telemetry.Event.REQUEST_FAILED
+        case core.NoRoute():
+            return telemetry.Event.REQUEST_UNROUTED
+    is_partial = report.parts < report.services
+    if is_partial or report.seconds > report.route.target:
+        return telemetry.Event.REQUEST_LATE
+    return telemetry.Event.REQUEST_SERVED
+
+
+def _describe(parts, report):
+    index, route = parts.catalogue.index, report.route
+    reason = getattr(report.outcome, 'reason', None)
+    return {
+        'request': report.request_id,
+        'route': route.name if route else '',
+        'version': index.table.version if index else 0,
+        'ms': round(report.seconds * 1000, 1),
+        'target': round(route.target * 1000) if route else 0,
+        'reason': reason.value if reason else '',
+        'parts': report.parts,
+        'services': report.services,
+        'hedges': report.hedges,
+        'retries': report.retries,
+    }
--- /dev/null
+++ b/citronweir/programs/_front_store.py
@@ -0,0 +1,113 @@
+"""Wires the configuration of a front node to the platform's store."""
+
+import asyncio
+import time
+
+from citronweir import core
+from citronweir import platform
+from citronweir import service
+from citronweir import telemetry
+from citronweir.programs import _front_parts as parts_
+
+# A watch ends after this time without a change. A connection that went
+# silent must not hide a change for longer than the 3 s within which a
+# change is in force.
+WATCH_TIME = 1.5  # seconds
+# Time between calls while the store refuses or does not answer.
+RETRY_MIN = 0.15  # seconds
+RETRY_MAX = 0.45  # seconds
+
+
+def make_config_peers(parts: parts_.FrontParts) -> service.ConfigPeers:
+    """Builds what the flows of the configuration need from outside."""
+
+    async def read_all():
+        reply = await platform.read_all(parts.session, parts.boot.store)
+        _note_reply(parts, reply)
+        if isinstance(reply, platform.StoreRefusal):
+            return core.StoreError(f'{reply.fault.value}: {reply.detail}')
+        return _make_batch(reply)
+
+    def on_change(fresh):
+        service.take_records(
+            parts.catalogue, parts.config.state, fresh, time.monotonic()
+        )
+
+    return service.ConfigPeers(
+        now=time.monotonic,
+        wall_now=time.time,
+        sleep=asyncio.sleep,
+        rng=parts.rng,
+        decode=platform.decode_item,
+        encode=lambda record: record.value,
+        read_all=read_all,
+        read_one=_refuse,
+        write=_refuse,
+        watch=lambda position: _watch(parts, position),
+        pick_peer=lambda: None,
+        push_local=lambda batch: None,
+        push_remote=lambda batch: None,
+        is_watcher=lambda: True,
+        on_change=on_change,
+    )
+
+
+async def _refuse(*args):
+    """The store is read-only here: operators write to it themselves."""
+    return core.StoreError('read-only')
+
+
+async def _watch(parts, position):
+    """Yields the changes after a revision until the history is dropped."""
+    while True:
+        reply = await platform.wait_changes(
+            parts.session, parts.boot.store, position, WATCH_TIME
+        )
+        _note_reply(parts, reply)
+        if isinstance(reply, platform.Changes):
+            # Every key is watched, so a revision that moved without a
+            # change means that the store has left some out.
+            if not reply.items and reply.revision > position:
+                yield core.StoreError('changes were left out')
+                return
+            position = max(position, reply.revision)
+            yield _make_batch(reply)
+        elif reply.fault is platform.StoreFault.COMPACTED:
+            yield core.StoreError(reply.detail)
+            return
+        else:
+            await asyncio.sleep(parts.rng.uniform(RETRY_MIN, RETRY_MAX))
+
+
+def _make_batch(reply):
+    return core.ConfigBatch(
+        tuple(
+            core.ConfigRecord(
+                core.ConfigKey(item.key), item.value, item.revision
+            )
+            for item in reply.items
+        ),
+        reply.revision,
+    )
+
+
+def _note_reply(parts, reply):
+    """Notes whether the store answers, and logs when that changes."""
+    now = time.monotonic()
+    is_answer = (
+        not isinstance(reply, platform.StoreRefusal)
+        or reply.fault is platform.StoreFault.COMPACTED
+    )
+    if is_answer and parts.lost_at is not None:
+        core.note_restored(parts.catalogue.directory, now)
+        telemetry.log(
+            telemetry.Event.STORE_RESTORED, seconds=now - parts.lost_at
+        )
+        parts.lost_at = None
+    elif not is_answer and parts.lost_at is None:
+        parts.lost_at = now
+        telemetry.log(
+            telemetry.Event.STORE_LOST,
+            revision=parts.config.state.complete_to,
+            error=f'{reply.fault.value}: {reply.detail}',
+        )
--- a/citronweir/programs/_parts.py
+++ b/citronweir/programs/_parts.py
@@ -8,8 +8,8 @@
 import aiohttp
 
 from citronweir import core
+from citronweir import metastore
 from citronweir import nodes
-from citronweir import platform
 from citronweir import service
 from citronweir import settings
 from citronweir import telemetry
@@ -29,7 +29,7 @@
     rng: random.Random
     identity: nodes.Identity
     kv_session: aiohttp.ClientSession
-    call_limits: platform.CallLimits
+    call_limits: metastore.CallLimits
     pools: upstreams.Pools
     links: nodes.Links
     membership: core.Membership
--- a/citronweir/programs/_wire_config.py
+++ b/citronweir/programs/_wire_config.py
@@ -7,8 +7,8 @@
 import time
 
 from citronweir import core
+from citronweir import metastore
 from citronweir import nodes
-from citronweir import platform
 from citronweir import service
 from citronweir.programs import _parts as parts_
 
@@ -28,8 +28,8 @@
         wall_now=time.time,
         sleep=asyncio.sleep,
         rng=parts.rng,
-        decode=platform.decode_record,
-        encode=platform.encode_record,
+        decode=metastore.decode_record,
+        encode=metastore.encode_record,
         pick_peer=lambda: _pick_peer(parts),
         push_local=lambda batch: _push(parts, parts_.list_peers(parts), batch),
         push_remote=lambda batch: _push(parts, _list_contacts(parts), batch),
@@ -62,10 +62,10 @@
     limits = parts.call_limits
 
     async def read_all():
-        reply = await platform.read_prefix(
+        reply = await metastore.read_prefix(
             session, url, core.CONFIG_PREFIX, limits=limits
         )
-        if isinstance(reply, platform.KvError):
+        if isinstance(reply, metastore.KvError):
             return core.StoreError(reply.detail)
         pairs, revision = reply
         return core.ConfigBatch(
@@ -74,19 +74,19 @@
         )
 
     async def read_one(key):
-        reply = await platform.read_key(session, url, key, limits=limits)
-        if isinstance(reply, platform.KvError):
+        reply = await metastore.read_key(session, url, key, limits=limits)
+        if isinstance(reply, metastore.KvError):
             return core.StoreError(reply.detail)
-        return reply[0] and platform.decode_record(_to_record(reply[0]))[0]
+        return reply[0] and metastore.decode_record(_to_record(reply[0]))[0]
 
     async def write(key, value, expected):
-        reply = await platform.put_if(
+        reply = await metastore.put_if(
             session, url, key, value, expected, limits=limits
         )
         match reply:
-            case platform.Applied(revision):
+            case metastore.Applied(revision):
                 return core.StoreWritten(core.Revision(revision))
-            case platform.Conflict(current):
+            case metastore.Conflict(current):
                 return core.StoreConflict(current and _to_record(current))
         return core.StoreError(reply.detail)
 
@@ -99,7 +99,7 @@
 
 
 async def _watch(parts, from_revision):
-    batches = platform.watch_prefix(
+    batches = metastore.watch_prefix(
         parts.kv_session,
         parts.cfg.kv_url,
         core.CONFIG_PREFIX,
@@ -108,7 +108,7 @@
     )
     async with contextlib.aclosing(batches):
         async for batch in batches:
-            if isinstance(batch, platform.KvError):
+            if isinstance(batch, metastore.KvError):
                 yield core.StoreError(batch.detail)
                 return
             yield core.ConfigBatch(
--- a/citronweir/programs/_wire_front.py
+++ b/citronweir/programs/_wire_front.py
@@ -6,9 +6,9 @@
 
 from citronweir import callers
 from citronweir import core
+from citronweir import metastore
 from citronweir import nodes
 from citronweir import operators
-from citronweir import platform
 from citronweir import service
 from citronweir import telemetry
 from citronweir.programs import _hops as hops
@@ -75,7 +75,7 @@
     parts: parts_.Parts, dispatch: service.DispatchPeers
 ) -> service.OrderPeers:
     """Builds what an order needs from outside."""
-    claims = platform.make_claim_store(
+    claims = metastore.make_claim_store(
         parts.kv_session, parts.cfg.kv_url, parts.call_limits
     )
 
--- a/citronweir/programs/_wire_replicas.py
+++ b/citronweir/programs/_wire_replicas.py
@@ -7,8 +7,8 @@
 import time
 
 from citronweir import core
+from citronweir import metastore
 from citronweir import nodes
-from citronweir import platform
 from citronweir import service
 from citronweir import telemetry
 from citronweir import upstreams
@@ -115,8 +115,8 @@
         is_watcher = service.is_watcher(parts.routing, parts.membership)
         if not is_watcher and parts.membership.is_joined:
             return
-        vms = await platform.fetch_vms(parts.kv_session, parts.cfg.vms_url)
-        failed = isinstance(vms, platform.VmsError)
+        vms = await metastore.fetch_vms(parts.kv_session, parts.cfg.vms_url)
+        failed = isinstance(vms, metastore.VmsError)
         telemetry.record_platform_call(
             parts.metrics, 'vms', 'no_reply' if failed else 'ok'
         )
@@ -130,7 +130,7 @@
         next_read = time.monotonic() + len(vms) / VMS_RATE
         _take_nodes(parts, vms)
         for vm in vms:
-            if vm.role is platform.VmRole.UPSTREAM and vm.dc == parts.cfg.dc:
+            if vm.role is metastore.VmRole.UPSTREAM and vm.dc == parts.cfg.dc:
                 _take_upstream(parts, gossip, entries, vm)
 
     return run_round
@@ -289,8 +289,8 @@
     live = [
         vm
         for vm in vms
-        if vm.role is platform.VmRole.NODE
-        and vm.state is platform.VmState.LIVE
+        if vm.role is metastore.VmRole.NODE
+        and vm.state is metastore.VmState.LIVE
     ]
     seeds = {vm.address for vm in live if vm.dc == parts.cfg.dc}
     seeds.update(parts.cfg.seeds)
@@ -326,12 +326,12 @@
 def _take_upstream(parts, gossip, entries, vm):
     replica_id = core.ReplicaId(vm.name)
     known = parts.table.replicas.get(replica_id)
-    if vm.state is platform.VmState.LIVE:
+    if vm.state is metastore.VmState.LIVE:
         publish_replica(parts, gossip, _find_news(known, vm))
     epoch = known.epoch if known else core.Epoch(0)
     entry, is_drained = core.judge_entry(
         entries.get(replica_id),
-        vm.state is platform.VmState.LEAVING,
+        vm.state is metastore.VmState.LEAVING,
         epoch,
         time.monotonic(),
     )
--- a/citronweir/programs/_wire_replicas_test.py
+++ b/citronweir/programs/_wire_replicas_test.py
@@ -4,7 +4,7 @@
 import types
 
 from citronweir import core
-from citronweir import platform
+from citronweir import metastore
 from citronweir import telemetry
 from citronweir.programs import _wire_replicas as wire_replicas
 
@@ -30,10 +30,10 @@
         metrics=telemetry.make_metrics(),
     )
     vms = [
-        platform.Vm(
+        metastore.Vm(
             f'r{number}',
-            platform.VmRole.UPSTREAM,
-            platform.VmState.LIVE,
+            metastore.VmRole.UPSTREAM,
+            metastore.VmState.LIVE,
             core.DataCentre('d2'),
             core.Address('127.0.0.1', 9000),
         )
@@ -45,7 +45,7 @@
         reads.append(now)
         return vms
 
-    monkeypatch.setattr(platform, 'fetch_vms', fetch)
+    monkeypatch.setattr(metastore, 'fetch_vms', fetch)
     monkeypatch.setattr(
         wire_replicas, 'time', types.SimpleNamespace(monotonic=lambda: now)
     )
--- a/citronweir/service/__init__.py
+++ b/citronweir/service/__init__.py
@@ -1,5 +1,7 @@
 """The flows on the loop; they get their peers as closures."""
 
+from citronweir.service._attempts import RequestPeers
+from citronweir.service._attempts import RequestReport
 from citronweir.service._changes import run_change
 from citronweir.service._config import answer_sync
 from citronweir.service._config import compact_config
@@ -11,6 +13,8 @@
 from citronweir.service._config import RecordSource
 from citronweir.service._config import run_watch
 from citronweir.service._config import sync_config
+from citronweir.service._directory import Catalogue
+from citronweir.service._directory import take_records
 from citronweir.service._dispatch import dispatch_sub
 from citronweir.service._dispatch import DispatchPeers
 from citronweir.service._dispatch import Route
@@ -33,6 +37,7 @@
 from citronweir.service._probes import probe_owned
 from citronweir.service._probes import ProbePeers
 from citronweir.service._probes import Probes
+from citronweir.service._requests import run_request
 from citronweir.service._search import run_search
 from citronweir.service._stop import count_work
 from citronweir.service._stop import is_stopping
--- a/citronweir/service/_config.py
+++ b/citronweir/service/_config.py
@@ -44,6 +44,10 @@
 FORWARDED = frozenset({RecordSource.STORE, RecordSource.REMOTE_PEER})
 
 
+def _ignore(fresh):
+    pass
+
+
 AskPeer = abc.Callable[[core.Revision], abc.Awaitable[core.ConfigBatch | None]]
 
 
@@ -87,6 +91,8 @@
         push_local: Sends records to every peer of the data centre.
         push_remote: Sends records to two nodes of each other one.
         is_watcher: Whether this node watches for its data centre.
+        on_change: Takes the records that were new, after each merge that
+            changed the configuration.
     """
 
     now: abc.Callable[[], float]
@@ -118,6 +124,7 @@
     push_local: abc.Callable[[core.ConfigBatch], None]
     push_remote: abc.Callable[[core.ConfigBatch], None]
     is_watcher: abc.Callable[[], bool]
+    on_change: abc.Callable[[tuple[core.ConfigRecord, ...]], None] = _ignore
 
 
 def config_age(peers: ConfigPeers, config: Configuration) -> float:
@@ -150,9 +157,12 @@
         _decode(peers, record) if core.is_new(config.state, record) else record
         for record in batch.records
     )
+    before = config.state.records
     config.state, fresh = core.merge_batch(
         config.state, dataclasses.replace(batch, records=records)
     )
+    if config.state.records is not before:
+        peers.on_change(fresh)
     if source in FORWARDED:
         for pushed in core.push_batches(fresh):
             peers.push_local(pushed)
@@ -189,6 +199,8 @@
     failures = 0
     while True:
         for _ in range(START_TRIES):
+            if peers.pick_peer() is None:
+                break
             if await _load_from_peers(peers, config):
                 return
             await peers.sleep(peers.rng.uniform(0, START_WAIT))
--- a/citronweir/service/_config_test.py
+++ b/citronweir/service/_config_test.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from citronweir import core
-from citronweir import platform
+from citronweir import metastore
 from citronweir.service import _changes as changes
 from citronweir.service import _config as configs
 
@@ -70,8 +70,8 @@
             wall_now=lambda: self.world.time + CLOCK_ERRORS[self.number],
             sleep=self.sleep,
             rng=random.Random(self.number),
-            decode=platform.decode_record,
-            encode=platform.encode_record,
+            decode=metastore.decode_record,
+            encode=metastore.encode_record,
             read_all=self.read_all,
             read_one=self.read_one,
             write=self.write,
@@ -205,7 +205,7 @@
                 0,
                 target,
             )
-            node.rival = platform.encode_record(rival)
+            node.rival = metastore.encode_record(rival)
         self.sent[change_id] = core.Change(change_id, expected, target)
         self._run_change(node, self.sent[change_id])
 
@@ -299,7 +299,7 @@
             expected = []
             for record in node.config.state.records.values():
                 stored = self.store.history[record.revision - 1]
-                body = platform.decode_record(stored)[0].body
+                body = metastore.decode_record(stored)[0].body
                 active = getattr(body, 'state', None) is ACTIVE
                 if active and body.start <= now and not body.expiry <= now:
                     expected.append(body.contract_id)
@@ -309,7 +309,7 @@
     @stateful.invariant()
     def changes_have_one_durable_effect(self):
         effects = collections.Counter(
-            platform.decode_record(item)[0].change_ids[-1]
+            metastore.decode_record(item)[0].change_ids[-1]
             for item in self.store.history
         )
         assert all(count == 1 for count in effects.values())
--- a/citronweir/service/_fanout_replies.py
+++ b/citronweir/service/_fanout_replies.py
@@ -75,7 +75,7 @@
 
 
 def end_span(
-    span: telemetry.Span | None,
+    span: 'telemetry.Span | None',
     replica_id: core.ReplicaId,
     rank: core.Rank,
     kind: states.TryKind,
--- a/citronweir/telemetry/__init__.py
+++ b/citronweir/telemetry/__init__.py
@@ -1,28 +1,60 @@
-"""Log events, metrics and traces."""
+"""Log events, metrics and traces.
 
+Metrics and traces stand on the OpenTelemetry SDK, which takes 0.4 s of
+processor time and 20 MB. They are imported on first use, so that a
+program which only logs does not pay for them.
+"""
+
+import importlib
+
+from citronweir.telemetry._bounded import LogLimits
+from citronweir.telemetry._bounded import make_log_limits
+from citronweir.telemetry._bounded import may_log
+from citronweir.telemetry._bounded import take_dropped
 from citronweir.telemetry._events import Event
 from citronweir.telemetry._events import log
 from citronweir.telemetry._events import render_catalogue
+from citronweir.telemetry._events import start_json_logging
 from citronweir.telemetry._events import start_logging
-from citronweir.telemetry._metrics import Gauge
-from citronweir.telemetry._metrics import make_metrics
-from citronweir.telemetry._metrics import make_metrics_app
-from citronweir.telemetry._metrics import Metrics
-from citronweir.telemetry._metrics import record_claim
-from citronweir.telemetry._metrics import record_order
-from citronweir.telemetry._metrics import record_platform_call
-from citronweir.telemetry._metrics import record_queue_delay
-from citronweir.telemetry._metrics import record_route
-from citronweir.telemetry._metrics import record_search
-from citronweir.telemetry._metrics import watch_values
-from citronweir.telemetry._traces import annotate_span
-from citronweir.telemetry._traces import end_span
-from citronweir.telemetry._traces import export_spans
-from citronweir.telemetry._traces import is_recorded
-from citronweir.telemetry._traces import name_outcome
-from citronweir.telemetry._traces import Span
-from citronweir.telemetry._traces import span
-from citronweir.telemetry._traces import start_span
-from citronweir.telemetry._traces import start_tracing
-from citronweir.telemetry._traces import stop_tracing
-from citronweir.telemetry._traces import Tracing
+
+_LAZY = {
+    'citronweir.telemetry._metrics': (
+        'Gauge',
+        'make_metrics',
+        'make_metrics_app',
+        'Metrics',
+        'record_claim',
+        'record_order',
+        'record_platform_call',
+        'record_queue_delay',
+        'record_route',
+        'record_search',
+        'watch_values',
+    ),
+    'citronweir.telemetry._traces': (
+        'annotate_span',
+        'end_span',
+        'export_spans',
+        'is_recorded',
+        'name_outcome',
+        'Span',
+        'span',
+        'start_span',
+        'start_tracing',
+        'stop_tracing',
+        'Tracing',
+    ),
+}
+_MODULE_OF = {
+    name: module for module, names in _LAZY.items() for name in names
+}
+
+
+def __getattr__(name: str) -> object:
+    """Imports the module of a name on its first use."""
+    module = _MODULE_OF.get(name)
+    if module is None:
+        raise AttributeError(f'no attribute {name!r}')
+    value = getattr(importlib.import_module(module), name)
+    globals()[name] = value
+    return value
--- a/citronweir/telemetry/_events.py
+++ b/citronweir/telemetry/_events.py
@@ -6,6 +6,8 @@
 
 import dataclasses
 import enum
+import json
+import os
 import sys
 
 import logbook
@@ -49,6 +51,47 @@
         'Report the event with its traceback.',
     )
 
+    REQUEST_SERVED = EventSpec(
+        1101,
+        'INFO',
+        'request {request} of route {route} answered after {ms} ms with '
+        '{parts} of {services} services, {hedges} hedges, {retries} retries',
+    )
+    REQUEST_DECLINED = EventSpec(
+        1102,
+        'WARNING',
+        'request {request} of route {route} not run after {ms} ms: {reason}',
+        'See docs/OPERATIONS.md, "Not run".',
+    )
+    REQUEST_FAILED = EventSpec(
+        1103,
+        'WARNING',
+        'request {request} of route {route} unanswered after {ms} ms: '
+        '{reason}; {parts} of {services} services, {hedges} hedges, '
+        '{retries} retries',
+        'See docs/OPERATIONS.md, "Ran without an answer".',
+    )
+    REQUEST_LATE = EventSpec(
+        1104,
+        'INFO',
+        'request {request} of route {route} answered after {ms} ms, '
+        'target {target} ms, with {parts} of {services} services, '
+        '{hedges} hedges, {retries} retries',
+        'See docs/OPERATIONS.md, "Late or partial".',
+    )
+    REQUEST_UNROUTED = EventSpec(
+        1105,
+        'INFO',
+        'request {request} matches no route of version {version}',
+        'Compare the path with the configuration in force.',
+    )
+    LINES_DROPPED = EventSpec(
+        1106, 'INFO', '{count} lines of event CW{number} were left out'
+    )
+    SETTINGS_RELOADED = EventSpec(
+        1107, 'INFO', 'settings read again: {detail}'
+    )
+
     CALLER_REJECTED = EventSpec(
         2001, 'DEBUG', 'request rejected: {field}: {message}'
     )
@@ -89,6 +132,21 @@
         'Find the caller and the fault of the upstream.',
     )
 
+    REPLICA_FAILED = EventSpec(
+        3006,
+        'INFO',
+        'replica {replica} of {service} gave {outcome} to request {request} '
+        'after {ms} ms; {failures} failures in succession',
+    )
+    REPLICA_LISTED = EventSpec(
+        3007,
+        'INFO',
+        'replica {replica} of {service} at {address} in {dc} is {state}',
+    )
+    REPLICA_UNLISTED = EventSpec(
+        3008, 'INFO', 'replica {replica} is no longer listed: {detail}'
+    )
+
     PLATFORM_UNAVAILABLE = EventSpec(
         4001,
         'WARNING',
@@ -120,6 +178,16 @@
         'Find what else writes these keys; its order is answered Unknown.',
     )
 
+    STORE_LOST = EventSpec(
+        4006,
+        'WARNING',
+        'the store does not answer at revision {revision}: {error}',
+        'Check the platform; the last configuration stays in force.',
+    )
+    STORE_RESTORED = EventSpec(
+        4007, 'INFO', 'the store answers again after {seconds:.1f} s'
+    )
+
     STREAM_REJECTED = EventSpec(
         6001,
         'WARNING',
@@ -165,6 +233,12 @@
         'configuration not confirmed for {age:.0f} s; fetching all of it',
         'Check the links of the data centre.',
     )
+    ROUTES_IN_FORCE = EventSpec(
+        5010,
+        'INFO',
+        'version {version} with {routes} routes in force at revision '
+        '{revision}',
+    )
     CHANGE_ACCEPTED = EventSpec(
         5004, 'INFO', 'change {change} of {key} holds at revision {revision}'
     )
@@ -222,6 +296,53 @@
     handler.push_application()
 
 
+@dataclasses.dataclass(slots=True)
+class _Pipe:
+    """Writes to a file descriptor that is never waited for.
+
+    Attributes:
+        lost: Lines that did not fit into the pipe.
+    """
+
+    fd: int
+    lost: int = 0
+
+    def write(self, text):
+        """Writes a line, or counts it as lost."""
+        try:
+            os.write(self.fd, text.encode(errors='replace'))
+        except BlockingIOError:
+            self.lost += 1
+
+    def flush(self):
+        """Does nothing; every line is written at once."""
+
+
+def start_json_logging(level: str) -> None:
+    """Sends events to standard output, one JSON object on a line.
+
+    Args:
+        level: Name of a logbook level.
+    """
+    fd = sys.stdout.fileno()
+    os.set_blocking(fd, False)
+    handler = logbook.StreamHandler(
+        _Pipe(fd), level=logbook.lookup_level(level)
+    )
+    handler.formatter = _format_json
+    handler.push_application()
+
+
+def _format_json(record, handler):
+    fields = {
+        'time': record.time.isoformat(timespec='milliseconds'),
+        'level': record.level_name,
+        'message': record.message,
+        **record.extra,
+    }
+    return json.dumps(fields, default=str)
+
+
 def render_catalogue() -> str:
     """Renders the catalogue of events as Markdown."""
     lines = [
--- /dev/null
+++ b/citronweir/upstreams/_lanes.py
@@ -0,0 +1,371 @@
+"""Shares the connections to each replica among the requests of a node.
+
+A replica accepts few connections from all nodes together, so a node
+queues by rank for the few that are its own. A request that nobody waits
+for any more keeps its connection to the end where that is short: a new
+connection costs the replica more than the rest of the reply.
+"""
+
+import asyncio
+from collections import abc
+import contextlib
+import dataclasses
+import functools
+
+from citronweir import core
+from citronweir.upstreams import _exchange as exchanges
+
+# A connection that is not open within this time counts as refused.
+CONNECT_TIME = 0.5  # seconds
+# An idle connection is not used within this time of its end: the replica
+# may close it while the request is on its way.
+KEEP_ALIVE_MARGIN = 0.5  # seconds
+# Keep-alive time of a replica that states none.
+KEEP_ALIVE_DEFAULT = 30.0  # seconds
+QUEUE_LIMIT = 64  # waiting requests of each rank
+# After the caller has left, a request may run on for this time.
+LEAVE_TIME = 0.25  # seconds
+_SHARES = {
+    core.Rank.URGENT: 0.7,
+    core.Rank.ORDINARY: 0.2,
+    core.Rank.DEFERRABLE: 0.1,
+}
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Exchange:
+    """One request to one replica.
+
+    Attributes:
+        encode: Renders the request for the seconds that are left.
+        decode: Turns a whole reply into an outcome.
+        is_own: Tells from a reply's fields whether it is to this request.
+        on_end: Takes the outcome, once.
+        deadline: Monotonic second after which the reply is of no use.
+        conn: Connection that carries it, or None while it waits.
+    """
+
+    rank: core.Rank
+    deadline: float
+    encode: abc.Callable[[float], bytes]
+    decode: abc.Callable[[exchanges.RawReply], core.AttemptOutcome]
+    is_own: exchanges.IsOwn
+    on_end: abc.Callable[[core.AttemptOutcome], None]
+    conn: exchanges.Connection | None = None
+    entry: core.Entry | None = None
+    timer: asyncio.TimerHandle | None = None
+    is_over: bool = False
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Lane:
+    """Connections of this node to one replica.
+
+    Attributes:
+        limit: Connections that this node may have.
+        opened: Connections that are open or being opened.
+    """
+
+    address: core.Address
+    limit: int
+    queue: core.RankQueue
+    opened: int = 0
+    opening: int = 0
+    idle: list[exchanges.Connection] = dataclasses.field(default_factory=list)
+    busy: set[exchanges.Connection] = dataclasses.field(default_factory=set)
+    tasks: set[asyncio.Task] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(slots=True)
+class Lanes:
+    """Connections of this node to all replicas.
+
+    Attributes:
+        now: Monotonic clock, seconds.
+    """
+
+    now: abc.Callable[[], float]
+    by_replica: dict[core.ReplicaId, Lane] = dataclasses.field(
+        default_factory=dict
+    )
+    opened_total: int = 0
+
+
+def submit(
+    lanes: Lanes, replica: core.ListedReplica, limit: int, exchange: Exchange
+) -> None:
+    """Sends a request as soon as a connection is free.
+
+    Args:
+        lanes: Connections of this node.
+        replica: Where to send it.
+        limit: Connections that this node may have to the replica.
+        exchange: The request; its ``on_end`` takes the outcome.
+    """
+    lane = _find_lane(lanes, replica, limit)
+    exchange.timer = asyncio.get_running_loop().call_later(
+        max(0.0, exchange.deadline - lanes.now()),
+        _expire,
+        lanes,
+        lane,
+        exchange,
+    )
+    conn = _take_idle(lanes, lane)
+    if conn is not None:
+        _send(lanes, lane, conn, exchange)
+        return
+    exchange.entry = core.Entry(exchange.rank, exchange.deadline, exchange)
+    expired = core.enqueue(lane.queue, exchange.entry, lanes.now())
+    if expired is None:
+        _finish(exchange, core.NotRun(core.NotRunReason.QUEUE_FULL))
+        return
+    _end_expired(expired)
+    _open_if_allowed(lanes, lane)
+
+
+def leave(lanes: Lanes, lane_of: core.ReplicaId, exchange: Exchange) -> None:
+    """Drops a request whose caller has gone.
+
+    Args:
+        lanes: Connections of this node.
+        lane_of: Where it was sent.
+        exchange: The request; its ``on_end`` is not called any more.
+    """
+    if exchange.is_over:
+        return
+    lane = lanes.by_replica.get(lane_of)
+    exchange.on_end = _ignore
+    if exchange.conn is None:
+        if exchange.entry is not None and lane is not None:
+            core.cancel(lane.queue, exchange.entry)
+        _finish(exchange, core.NotRun(core.NotRunReason.CANCELLED))
+        return
+    exchange.timer.cancel()
+    exchange.timer = asyncio.get_running_loop().call_later(
+        LEAVE_TIME, _expire, lanes, lane, exchange
+    )
+
+
+def withdraw(
+    lanes: Lanes, lane_of: core.ReplicaId, exchange: Exchange
+) -> bool:
+    """Takes back a request that still waits for a connection.
+
+    Returns:
+        Whether it was withdrawn; otherwise it runs on to its end.
+    """
+    lane = lanes.by_replica.get(lane_of)
+    if exchange.is_over or exchange.conn is not None or lane is None:
+        return False
+    if exchange.entry is not None:
+        core.cancel(lane.queue, exchange.entry)
+    _finish(exchange, core.NotRun(core.NotRunReason.CANCELLED))
+    return True
+
+
+def warm(lanes: Lanes, replica: core.ListedReplica, limit: int) -> None:
+    """Opens a connection to a replica that has none."""
+    lane = _find_lane(lanes, replica, limit)
+    if not lane.opened:
+        _open(lanes, lane)
+
+
+def keep_only(lanes: Lanes, replicas: abc.Container[core.ReplicaId]) -> None:
+    """Closes the idle connections to replicas that are gone."""
+    for replica_id, lane in list(lanes.by_replica.items()):
+        if replica_id in replicas:
+            continue
+        while lane.idle:
+            _discard(lane, lane.idle.pop())
+        if not lane.opened and not core.count_waiting(lane.queue):
+            del lanes.by_replica[replica_id]
+
+
+def close_all(lanes: Lanes) -> None:
+    """Closes every connection at once."""
+    for lane in lanes.by_replica.values():
+        for task in lane.tasks:
+            task.cancel()
+        for conn in (*lane.idle, *lane.busy):
+            exchanges.close(conn)
+    lanes.by_replica.clear()
+
+
+def count_conns(lanes: Lanes) -> int:
+    """Returns the connections that are open or being opened."""
+    return sum(lane.opened for lane in lanes.by_replica.values())
+
+
+def _find_lane(lanes, replica, limit):
+    lane = lanes.by_replica.get(replica.replica_id)
+    if lane is None or lane.address != replica.address:
+        lane = Lane(
+            replica.address, limit, core.make_queue(_SHARES, QUEUE_LIMIT)
+        )
+        lanes.by_replica[replica.replica_id] = lane
+    lane.limit = max(1, limit)
+    return lane
+
+
+def _take_idle(lanes, lane):
+    now = lanes.now()
+    while lane.idle:
+        conn = lane.idle.pop()
+        keep_alive = conn.keep_alive or KEEP_ALIVE_DEFAULT
+        if now - conn.idle_since < keep_alive - KEEP_ALIVE_MARGIN:
+            return conn
+        _discard(lane, conn)
+    return None
+
+
+def _discard(lane, conn):
+    lane.opened -= 1
+    exchanges.close(conn)
+
+
+def _open_if_allowed(lanes, lane):
+    if lane.opened < lane.limit and lane.opening < core.count_waiting(
+        lane.queue
+    ):
+        _open(lanes, lane)
+
+
+def _open(lanes, lane):
+    lane.opened += 1
+    lane.opening += 1
+    lanes.opened_total += 1
+    task = asyncio.get_running_loop().create_task(_connect(lanes, lane))
+    lane.tasks.add(task)
+    task.add_done_callback(lane.tasks.discard)
+
+
+async def _connect(lanes, lane):
+    loop = asyncio.get_running_loop()
+    on_idle_loss = functools.partial(_lose_idle, lane)
+    conn = None
+    try:
+        async with asyncio.timeout(CONNECT_TIME):
+            _, conn = await loop.create_connection(
+                functools.partial(exchanges.Connection, on_idle_loss),
+                lane.address.host,
+                lane.address.port,
+            )
+    except (OSError, TimeoutError):
+        pass
+    finally:
+        lane.opening -= 1
+        is_open = conn is not None and not conn.is_closed
+        if not is_open:
+            lane.opened -= 1
+    if is_open:
+        conn.idle_since = lanes.now()
+        _use_free(lanes, lane, conn)
+    else:
+        _refuse_next(lanes, lane)
+
+
+def _refuse_next(lanes, lane):
+    """Ends the waiting request that the failed connection was meant for."""
+    if lane.opened > lane.opening:
+        return  # another connection still serves the queue
+    entry, expired = core.take(lane.queue, lanes.now(), core.select_shares)
+    _end_expired(expired)
+    if entry is not None:
+        refused = core.NotRun(core.NotRunReason.UNREACHABLE)
+        _finish(entry.item, refused)
+    _open_if_allowed(lanes, lane)
+
+
+def _lose_idle(lane, conn):
+    with contextlib.suppress(ValueError):
+        lane.idle.remove(conn)
+        lane.opened -= 1
+
+
+def _use_free(lanes, lane, conn):
+    entry, expired = core.take(lane.queue, lanes.now(), core.select_shares)
+    if entry is None:
+        lane.idle.append(conn)
+    else:
+        _send(lanes, lane, conn, entry.item)
+    _end_expired(expired)
+
+
+def _send(lanes, lane, conn, exchange):
+    exchange.conn = conn
+    lane.busy.add(conn)
+    left = exchange.deadline - lanes.now()
+    exchanges.start_exchange(
+        conn,
+        exchange.encode(left),
+        exchange.is_own,
+        functools.partial(_take_end, lanes, lane, exchange),
+    )
+
+
+def _take_end(lanes, lane, exchange, result):
+    conn = exchange.conn
+    lane.busy.discard(conn)
+    if isinstance(result, exchanges.Loss):
+        lane.opened -= 1
+        outcome = core.Lost(core.UnknownReason.REPLY_LOST)
+    else:
+        outcome = exchange.decode(result)
+        _release(lanes, lane, conn, result)
+    _finish(exchange, outcome)
+    _open_if_allowed(lanes, lane)
+
+
+def _release(lanes, lane, conn, reply):
+    if not reply.is_reusable:
+        lane.opened -= 1
+        return
+    conn.idle_since = lanes.now()
+    conn.keep_alive = _read_keep_alive(reply.headers.get('keep-alive', ''))
+    if lanes.by_replica and conn.keep_alive != 0:
+        _use_free(lanes, lane, conn)
+    else:
+        _discard(lane, conn)
+
+
+def _read_keep_alive(text):
+    for part in text.split(','):
+        name, _, value = part.strip().partition('=')
+        if name.lower() == 'timeout' and value.isdigit():
+            return float(value)
+    return None
+
+
+def _expire(lanes, lane, exchange):
+    """Ends a request whose time is up, with its connection."""
+    if exchange.is_over:
+        return
+    if exchange.conn is None:
+        if exchange.entry is not None:
+            core.cancel(lane.queue, exchange.entry)
+        late = core.NotRun(core.NotRunReason.DEADLINE_PASSED)
+        _finish(exchange, late)
+        return
+    lane.busy.discard(exchange.conn)
+    _discard(lane, exchange.conn)
+    _finish(exchange, core.Lost(core.UnknownReason.TIMEOUT))
+    _open_if_allowed(lanes, lane)
+
+
+def _end_expired(entries):
+    for entry in entries:
+        late = core.NotRun(core.NotRunReason.DEADLINE_PASSED)
+        _finish(entry.item, late)
+
+
+def _finish(exchange, outcome):
+    if exchange.is_over:
+        return
+    exchange.is_over = True
+    if exchange.timer is not None:
+        exchange.timer.cancel()
+    exchange.on_end(outcome)
+
+
+def _ignore(outcome):
+    pass
--- a/fakes/fleet_test.py
+++ b/fakes/fleet_test.py
@@ -7,7 +7,7 @@
 
 from citronweir import callers
 from citronweir import core
-from citronweir import platform
+from citronweir import metastore
 from fakes import fleet as fleets
 
 CONTRACT = core.ContractId('urgent-1')
@@ -19,15 +19,15 @@
     contract = core.Contract(
         CONTRACT, core.Rank.URGENT, 2.0, now - 1, now + 600
     )
-    async with platform.make_session() as session:
-        reply = await platform.put_if(
+    async with metastore.make_session() as session:
+        reply = await metastore.put_if(
             session,
             f'http://{fleets.HOST}:{fleet.kv_port}',
-            platform.CONTRACTS_PREFIX + CONTRACT,
-            platform.encode_contract(contract),
+            metastore.CONTRACTS_PREFIX + CONTRACT,
+            metastore.encode_contract(contract),
             0,
         )
-    assert isinstance(reply, platform.Applied)
+    assert isinstance(reply, metastore.Applied)
 
 
 def _search_fields():
--- a/fakes/kv.py
+++ b/fakes/kv.py
@@ -21,7 +21,7 @@
 from aiohttp import web
 import cyclopts
 
-from citronweir import platform
+from citronweir import metastore
 from fakes import _store as stores
 
 GRPC_NOT_FOUND = 5
@@ -355,7 +355,7 @@
         The service, its base URL and a client session.
     """
     server = test_utils.TestServer(make_app(service))
-    async with server, platform.make_session() as session:
+    async with server, metastore.make_session() as session:
         yield service, str(server.make_url('')).rstrip('/'), session
 
 
--- a/fakes/orders_test.py
+++ b/fakes/orders_test.py
@@ -8,7 +8,7 @@
 
 from citronweir import callers
 from citronweir import core
-from citronweir import platform
+from citronweir import metastore
 from fakes import fleet as fleets
 
 CONTRACT = core.ContractId('urgent-1')
@@ -19,12 +19,12 @@
     contract = core.Contract(
         CONTRACT, core.Rank.URGENT, 1.0, now - 1, now + 600
     )
-    async with platform.make_session() as session:
-        await platform.put_if(
+    async with metastore.make_session() as session:
+        await metastore.put_if(
             session,
             url,
-            platform.CONTRACTS_PREFIX + CONTRACT,
-            platform.encode_contract(contract),
+            metastore.CONTRACTS_PREFIX + CONTRACT,
+            metastore.encode_contract(contract),
             0,
         )
 
--- a/fakes/vms_test.py
+++ b/fakes/vms_test.py
@@ -2,7 +2,7 @@
 
 from aiohttp import test_utils
 
-from citronweir import platform
+from citronweir import metastore
 from fakes import vms as fake
 
 
@@ -11,7 +11,7 @@
     app = fake.make_app(fake.VmList())
     async with (
         test_utils.TestServer(app) as server,
-        platform.make_session() as session,
+        metastore.make_session() as session,
     ):
         url = str(server.make_url('')).rstrip('/')
         entry = {
@@ -22,9 +22,9 @@
             'target': '127.0.0.1:1',
         }
         await session.post(f'{url}/register', json=entry)
-        assert len(await platform.fetch_vms(session, url)) == 1
+        assert len(await metastore.fetch_vms(session, url)) == 1
         await session.post(f'{url}/faults', json={'lag': 60})
         await session.post(f'{url}/remove', json={'name': 'n1'})
-        assert len(await platform.fetch_vms(session, url)) == 1
+        assert len(await metastore.fetch_vms(session, url)) == 1
         await session.post(f'{url}/faults', json={'lag': 0})
-        assert await platform.fetch_vms(session, url) == []
+        assert await metastore.fetch_vms(session, url) == []
--- a/tests/support.py
+++ b/tests/support.py
@@ -11,7 +11,7 @@
 import uuid6
 
 from citronweir import core
-from citronweir import platform
+from citronweir import metastore
 from fakes import fleet as fleets
 
 CONTRACT = core.ContractId('urgent-1')
@@ -63,15 +63,15 @@
     contract = core.Contract(
         CONTRACT, core.Rank.URGENT, 2.0, now - 1, now + 600
     )
-    async with platform.make_session() as session:
-        reply = await platform.put_if(
+    async with metastore.make_session() as session:
+        reply = await metastore.put_if(
             session,
             f'http://{fleets.HOST}:{fleet.kv_port}',
-            platform.CONTRACTS_PREFIX + CONTRACT,
-            platform.encode_contract(contract),
+            metastore.CONTRACTS_PREFIX + CONTRACT,
+            metastore.encode_contract(contract),
             0,
         )
-    assert isinstance(reply, platform.Applied)
+    assert isinstance(reply, metastore.Applied)
 
 
 def make_search(
