--- a/citronweir/core/_extra_load.py
+++ b/citronweir/core/_extra_load.py
@@ -16,8 +16,8 @@
 # whether a request is answered at all, a hedge how soon.
 RETRY_RESERVE = 0.25
 # Part of a full bucket that a starting node has: its predecessor may have
-# spent the rest in the same window.
-START_SHARE = 0.5
+# spent a full one in the same window, on every node after a mass restart.
+START_SHARE = 0.2
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/citronweir/core/_gathering_test.py
@@ -0,0 +1,65 @@
+"""Tests of the merge of parts and of when an answer is good enough."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from citronweir import core
+
+SHARDS = tuple(core.ServiceName(f's{number}') for number in range(20))
+
+
+def _route(top_k=5, coverage=0.89):
+    return core.Route(
+        core.RouteName('r'),
+        'a.example',
+        '/',
+        core.Repeat.IDEMPOTENT,
+        core.Rank.URGENT,
+        0.1,
+        0.4,
+        2,
+        shards=SHARDS,
+        top_k=top_k,
+        min_coverage=coverage,
+    )
+
+
+def test_parts_that_an_answer_needs():
+    """Guards against a rounding that lets an answer have a part too few."""
+    assert core.min_parts(_route(coverage=0.89)) == 18
+    assert core.min_parts(_route(coverage=0.75)) == 15
+    assert core.min_parts(_route(coverage=0.0)) == 1
+
+
+def test_answer_waits_for_all_until_its_target():
+    """Guards coverage: a part that comes in time is worth waiting for."""
+    judge, verdict = core.judge_parts, core.Verdict
+    assert judge(_route(), 19, 1, False) is verdict.WAIT
+    assert judge(_route(), 19, 1, True) is verdict.ANSWER
+    assert judge(_route(), 17, 3, True) is verdict.WAIT
+    assert judge(_route(), 18, 0, False) is verdict.ANSWER
+    assert judge(_route(), 16, 1, False) is verdict.GIVE_UP
+
+
+@given(
+    st.lists(st.binary(max_size=200), min_size=1, max_size=20),
+    st.integers(1, 30),
+)
+def test_merge_holds_the_greatest_records(bodies, top_k):
+    """Guards the answer against a plain sort of all whole records."""
+    replies = [
+        core.Reply(200, (), body, f'sig{number}')
+        for number, body in enumerate(bodies)
+    ]
+    answer = core.merge_parts(_route(top_k), replies)
+    records = sorted(
+        (
+            body[start : start + 16]
+            for body in bodies
+            for start in range(0, len(body) // 16 * 16, 16)
+        ),
+        reverse=True,
+    )
+    assert answer.body == b''.join(records[:top_k])
+    assert answer.signatures == tuple(item.signature for item in replies)
+    assert answer.missing == len(SHARDS) - len(bodies)
--- /dev/null
+++ b/citronweir/core/_placement_test.py
@@ -0,0 +1,107 @@
+"""Tests of the choice among the replicas of a service."""
+
+import pytest
+
+from citronweir import core
+from citronweir.core import _placement as placement
+
+VANTAGE = core.Vantage(
+    core.DataCentre('here'),
+    {
+        core.DataCentre('here'): 'north',
+        core.DataCentre('near'): 'north',
+        core.DataCentre('far'): 'south',
+    },
+)
+
+
+def _replica(name, dc='here'):
+    return core.ListedReplica(
+        core.ReplicaId(name),
+        core.ServiceName('s'),
+        core.Address('127.0.0.1', 1),
+        core.DataCentre(dc),
+        core.ListedState.READY,
+        slots=2,
+    )
+
+
+NEAR, FAR = _replica('near'), _replica('far', 'far')
+
+
+def _choose(loads, now, tried=()):
+    chosen = core.choose_listed(
+        loads, VANTAGE, (FAR, NEAR), tried, now, lambda: 1.0
+    )
+    return None if chosen is None else chosen[0].replica_id
+
+
+def _load(loads, replica, now):
+    return loads.setdefault(
+        replica.replica_id, placement.make_load(VANTAGE, replica, now)
+    )
+
+
+def test_near_replica_is_chosen_first():
+    """Guards against latency and traffic between regions without a reason."""
+    assert _choose({}, 0.0) == 'near'
+    assert _choose({}, 0.0, {'near'}) == 'far'
+    assert _choose({}, 0.0, {'near', 'far'}) is None
+
+
+def test_paused_replica_is_avoided_before_its_answer_is_late_for_all():
+    """Guards the load pattern of a replica that stops for a moment.
+
+    One request that is out for longer than the answers before it explain
+    shows the pause to every later request of the node.
+    """
+    loads = {}
+    load = _load(loads, NEAR, 0.0)
+    core.note_sent(load, 1, 0.0)
+    assert _choose(loads, 0.010) == 'near'
+    assert _choose(loads, 0.060) == 'far'
+    core.note_answer(load, 1, 0.061)
+    load.latency = load.start
+    assert _choose(loads, 0.062) == 'near'
+
+
+def test_failing_replica_is_left_alone_for_a_growing_time():
+    """Guards against a replica that fails fast and so looks quick."""
+    loads = {}
+    load = _load(loads, NEAR, 0.0)
+    for number in range(3):
+        core.note_sent(load, number, 0.0)
+        core.note_failure_of(load, number, 0.0)
+    assert _choose(loads, 0.9) == 'far'
+    assert _choose(loads, 1.1) == 'near'
+
+
+def test_slow_replica_is_tried_again_after_a_while():
+    """Guards against an estimate that nothing corrects any more."""
+    loads = {}
+    load = _load(loads, NEAR, 0.0)
+    core.note_sent(load, 1, 0.0)
+    core.note_answer(load, 1, 1.0)
+    assert _choose(loads, 1.1) == 'far'
+    assert _choose(loads, 1.0 + placement.FORGET_TIME) == 'near'
+
+
+def test_full_slots_make_requests_wait():
+    """Guards against a near replica that takes all while others idle."""
+    loads = {}
+    load = _load(loads, NEAR, 0.0)
+    alone = placement.expected_time(load, 2, 0.0)
+    for number in range(3):
+        core.note_sent(load, number, 0.0)
+    assert placement.expected_time(load, 2, 0.0) == pytest.approx(2 * alone)
+
+
+def test_reported_queue_counts_only_while_it_is_news():
+    """Guards against choices by a queue that is long gone."""
+    load = placement.make_load(VANTAGE, NEAR, 0.0)
+    idle = placement.expected_time(load, 2, 0.0)
+    core.note_reported(load, 6, 0.0)
+    assert placement.expected_time(load, 2, 0.1) > 2 * idle
+    assert placement.expected_time(
+        load, 2, placement.LOAD_TIME
+    ) == pytest.approx(idle)
--- /dev/null
+++ b/citronweir/platform/_boot_test.py
@@ -0,0 +1,52 @@
+"""Tests of the settings file of the platform."""
+
+from citronweir import core
+from citronweir import platform
+from citronweir.platform import _boot as boot
+
+TEXT = '''
+node = "n1"
+zone = "east"
+ip = "10.1.0.9"
+internal_ports = [7380, 7395]
+unknown = 1
+[zones]
+east = "north"
+[listen]
+front = "10.1.0.9:8104"
+readiness = "10.1.0.9:8108"
+[bounds]
+grace_s = 6
+retry_ratio = 0.2
+retry_slack = 56
+[platform]
+address = "10.200.1.7:8102"
+'''
+
+
+def _read(tmp_path, text):
+    path = tmp_path / 'settings.toml'
+    path.write_text(text)
+    return platform.read_boot({'CITRONWEIR_BOOT': str(path)})
+
+
+def test_fields_are_read_and_unknown_ones_ignored(tmp_path):
+    """Guards the start of a node against fields that come later."""
+    cfg = _read(tmp_path, TEXT)
+    assert cfg.callers == core.Address('10.1.0.9', 8104)
+    assert cfg.store == core.Address('10.200.1.7', 8102)
+    assert cfg.regions == {'east': 'north'}
+    assert (cfg.stop_time, cfg.extra_ratio, cfg.extra_slack) == (6.0, 0.2, 56)
+
+
+def test_missing_field_is_named(tmp_path):
+    """Guards an operator against a traceback in place of a reason."""
+    cfg = _read(tmp_path, TEXT.replace('zone = "east"', ''))
+    assert cfg == boot.BootError('zone', 'missing')
+
+
+def test_file_that_cannot_be_read_is_named(tmp_path):
+    """Guards against a start with half of a file."""
+    assert isinstance(_read(tmp_path, 'node = '), platform.BootError)
+    missing = platform.read_boot({'CITRONWEIR_BOOT': str(tmp_path / 'none')})
+    assert isinstance(missing, platform.BootError)
--- a/citronweir/service/_fanout.py
+++ b/citronweir/service/_fanout.py
@@ -15,6 +15,10 @@
 # Replicas that may see a canary: the first and one more, which bounds
 # the replicas that a crashing request can take down.
 CANARY_TRIES = 2
+# Seconds for which a search waits after a canary's reply was lost. By then
+# the owner has found out whether the replica crashed and has told the
+# other nodes; going on sooner took down one replica more for each node.
+VERDICT_TIME = 0.15
 # Times that the range of a piece is tiled again after it was split.
 MAX_SPLITS = 2
 # A whole search is planned again once at most, which bounds its load.
@@ -168,10 +172,28 @@
         # It costs the replica next to nothing. Paid as a retry, a drain
         # of many replicas at once would cost coverage.
         _retry(fanout, piece_run, core.take_move)
+    elif piece_run is fanout.canary and isinstance(outcome, core.SubUnknown):
+        _await_verdict(fanout, piece_run)
     else:
         _retry(fanout, piece_run, core.take_retry)
 
 
+def _await_verdict(fanout, piece_run):
+    """Goes on with another replica unless the request is suspected."""
+
+    def go_on():
+        fanout.verdict_timer = None
+        if fanout.done.done() or piece_run.settled:
+            return
+        if fanout.peers.is_suspect(fanout.req):
+            _settle(fanout, piece_run)
+        else:
+            _retry(fanout, piece_run, core.take_retry)
+
+    loop = asyncio.get_running_loop()
+    fanout.verdict_timer = loop.call_later(VERDICT_TIME, go_on)
+
+
 def _retry(fanout, piece_run, take):
     peers = fanout.peers
     is_canary = piece_run is fanout.canary
@@ -259,12 +281,20 @@
     elif piece_run.is_replied:
         runs, fanout.waiting, fanout.canary = fanout.waiting, [], None
         _launch(fanout, runs)
-    elif piece_run.is_lost:
+    elif piece_run.is_lost and not _may_send_again(fanout, piece_run):
         _finish(fanout)  # the request may have crashed the replicas
     else:
         _send_canary(fanout)
 
 
+def _may_send_again(fanout, piece_run):
+    """Counts a lost canary; returns whether another piece may go first."""
+    fanout.canary_seen += piece_run.seen
+    return fanout.canary_seen < CANARY_TRIES and not fanout.peers.is_suspect(
+        fanout.req
+    )
+
+
 def _end_piece(piece_run):
     """Ends a piece and cancels what is still on its way for it."""
     piece_run.settled = True
@@ -320,6 +350,9 @@
     if fanout.hedge_timer is not None:
         fanout.hedge_timer.cancel()
         fanout.hedge_timer = None
+    if fanout.verdict_timer is not None:
+        fanout.verdict_timer.cancel()
+        fanout.verdict_timer = None
 
 
 def _finish(fanout):
--- a/citronweir/service/_fanout_state.py
+++ b/citronweir/service/_fanout_state.py
@@ -57,6 +57,7 @@
         merges: Replies of the earlier plan, then of the current one.
         waiting: Pieces held back until the canary is done.
         open: Pieces that may still get a reply that counts.
+        canary_seen: Replicas that may have run a canary without a reply.
         sheds: Sub-requests that were not run for lack of capacity.
         is_late: Whether the time was up before every piece was settled.
     """
@@ -75,6 +76,8 @@
     open: dict[PieceRun, None] = dataclasses.field(default_factory=dict)
     canary: PieceRun | None = None
     hedge_timer: asyncio.TimerHandle | None = None
+    verdict_timer: asyncio.TimerHandle | None = None
+    canary_seen: int = 0
     sent: int = 0
     hedges: int = 0
     retries: int = 0
--- /dev/null
+++ b/fakes/platform_replica.py
@@ -0,0 +1,142 @@
+"""Stand-in of a replica on the users' platform, by its protocol.
+
+It signs its answers, echoes request ids and misbehaves as a test says:
+late or second answers, cut ones, refusals, another identity.
+"""
+
+import asyncio
+import dataclasses
+import enum
+import functools
+
+
+class Fault(enum.Enum):
+    """What a replica does with a request."""
+
+    NONE = 'none'
+    SHED = 'shed'
+    ERROR = 'error'
+    SILENT = 'silent'
+    RESET = 'reset'
+    CUT = 'cut'
+    EXTRA = 'extra'
+    LATE_EXTRA = 'late_extra'
+    UNFRAMED = 'unframed'
+    GARBAGE = 'garbage'
+    UNSIGNED = 'unsigned'
+
+
+@dataclasses.dataclass(slots=True)
+class Replica:
+    """State of a replica.
+
+    Attributes:
+        records: Body of its part.
+        delay: Seconds that a request takes.
+        faults: Fault of each coming request; after them there is none.
+        seen: Heads and bodies of the requests that came.
+        cancelled: Requests whose connection closed while they ran.
+    """
+
+    replica_id: str
+    records: bytes = b''
+    delay: float = 0.0
+    faults: list[Fault] = dataclasses.field(default_factory=list)
+    seen: list[tuple[str, dict[str, str], bytes]] = dataclasses.field(
+        default_factory=list
+    )
+    cancelled: int = 0
+    conns: int = 0
+
+
+async def start(replica: Replica, port: int = 0) -> asyncio.Server:
+    """Starts to accept connections on the loopback."""
+    return await asyncio.start_server(
+        functools.partial(_serve, replica), '127.0.0.1', port
+    )
+
+
+async def _serve(replica, reader, writer):
+    replica.conns += 1
+    try:
+        while await _serve_one(replica, reader, writer):
+            pass
+    except (ConnectionError, asyncio.IncompleteReadError):
+        pass
+    finally:
+        writer.close()
+
+
+async def _serve_one(replica, reader, writer):
+    head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
+    line, *rest = head.strip().split('\r\n')
+    headers = dict(part.split(': ', 1) for part in rest)
+    length = int(headers.get('Content-Length', 0))
+    body = await reader.readexactly(length)
+    replica.seen.append((line, headers, body))
+    if headers.get('X-Expect-Instance') != replica.replica_id:
+        writer.write(_render(421, {'X-Instance-Id': replica.replica_id}))
+        return True
+    if replica.delay and await _is_cut(reader, replica.delay):
+        replica.cancelled += 1
+        return False
+    fault = replica.faults.pop(0) if replica.faults else Fault.NONE
+    return await _answer(replica, headers, writer, fault)
+
+
+async def _is_cut(reader, delay):
+    try:
+        async with asyncio.timeout(delay):
+            return not await reader.read(1)
+    except TimeoutError:
+        return False
+
+
+async def _answer(replica, headers, writer, fault):
+    request_id = headers['X-Request-Id']
+    signed = {
+        'X-Request-Id': request_id,
+        'X-Server-Stamp': f'{replica.replica_id}.{request_id}',
+        'X-Server-Load': '1,0,2',
+    }
+    whole = _render(200, signed, replica.records)
+    match fault:
+        case Fault.SHED:
+            writer.write(_render(503, {'X-Not-Executed': '1'}))
+        case Fault.ERROR:
+            writer.write(_render(500, signed))
+        case Fault.SILENT:
+            await asyncio.sleep(3600)
+        case Fault.RESET:
+            writer.transport.abort()
+            return False
+        case Fault.CUT:
+            writer.write(whole[:-1])
+            return False
+        case Fault.EXTRA:
+            writer.write(whole + whole)
+        case Fault.LATE_EXTRA:
+            writer.write(whole)
+            await writer.drain()
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.02, writer.write, whole)
+        case Fault.UNFRAMED:
+            lines = ''.join(f'{key}: {signed[key]}\r\n' for key in signed)
+            writer.write(f'HTTP/1.1 200 OK\r\n{lines}\r\n'.encode())
+            writer.write(replica.records)
+            return False
+        case Fault.GARBAGE:
+            writer.write(b'\x00\x01 no answer\r\n\r\n')
+            return False
+        case Fault.UNSIGNED:
+            del signed['X-Server-Stamp']
+            writer.write(_render(200, signed, replica.records))
+        case _:
+            writer.write(whole)
+    return True
+
+
+def _render(status, headers, body=b''):
+    lines = ''.join(f'{name}: {value}\r\n' for name, value in headers.items())
+    head = f'HTTP/1.1 {status} X\r\n{lines}Content-Length: {len(body)}\r\n\r\n'
+    return head.encode() + body
--- /dev/null
+++ b/fakes/platform_store.py
@@ -0,0 +1,252 @@
+"""Stand-in of the users' store, by its published protocol.
+
+Keys with revisions, leases, paged ranges, watches and transactions over
+HTTP, with faults that a test sets: refusals, silence, dropped history,
+lapsed leases, lost and late writes, and watches that hear nothing.
+"""
+
+import asyncio
+import base64
+import dataclasses
+import enum
+import itertools
+
+from aiohttp import web
+
+PAGE = 500  # items of one page
+
+
+class Outage(enum.Enum):
+    """How the store fails."""
+
+    NONE = 'none'
+    BUSY = 'busy'
+    MANY = 'many'
+    SILENT = 'silent'
+    RESET = 'reset'
+
+
+@dataclasses.dataclass(slots=True)
+class Item:
+    """One key as it was last written."""
+
+    value: bytes
+    revision: int
+    created: int
+    lease: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Store:
+    """State of the store and the faults in force.
+
+    Attributes:
+        history: Changes in order: revision, key, item or None if removed.
+        compacted: Revision up to which the history is dropped.
+        is_mute: Whether watches hear nothing.
+        lost_writes: Next writes that take effect without an answer.
+        calls: Calls that came, by path.
+    """
+
+    items: dict[str, Item] = dataclasses.field(default_factory=dict)
+    history: list[tuple[int, str, Item | None]] = dataclasses.field(
+        default_factory=list
+    )
+    revision: int = 1
+    compacted: int = 0
+    page: int = PAGE
+    outage: Outage = Outage.NONE
+    is_mute: bool = False
+    lost_writes: int = 0
+    leases: dict[int, float] = dataclasses.field(default_factory=dict)
+    lease_ids: itertools.count = dataclasses.field(
+        default_factory=lambda: itertools.count(7000)
+    )
+    calls: dict[str, int] = dataclasses.field(default_factory=dict)
+    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+
+def put(store: Store, key: str, value: bytes, lease: int = 0) -> int:
+    """Writes a key; returns the revision."""
+    store.revision += 1
+    known = store.items.get(key)
+    created = known.created if known else store.revision
+    item = Item(value, store.revision, created, lease)
+    store.items[key] = item
+    _record(store, key, item)
+    return store.revision
+
+
+def remove(store: Store, key: str) -> None:
+    """Removes a key if it is there."""
+    if store.items.pop(key, None) is not None:
+        store.revision += 1
+        _record(store, key, None)
+
+
+def compact(store: Store) -> None:
+    """Drops the history; waiting watches are cut."""
+    store.compacted = store.revision
+    store.history.clear()
+    _wake(store)
+
+
+def end_lease(store: Store, lease: int) -> None:
+    """Ends a lease with its keys."""
+    store.leases.pop(lease, None)
+    for key, item in list(store.items.items()):
+        if item.lease == lease:
+            remove(store, key)
+
+
+def make_app(store: Store) -> web.Application:
+    """Builds the HTTP application of the stand-in."""
+    app = web.Application(client_max_size=4 << 20)
+    for method, path, answer in (
+        ('GET', '/citronweir/kv-key', _key),
+        ('GET', '/citronweir/kv-range', _range),
+        ('GET', '/citronweir/kv-watch', _watch),
+        ('POST', '/citronweir/kv-txn', _txn),
+        ('POST', '/citronweir/kv-lease', _lease),
+        ('POST', '/citronweir/kv-keep/{lease}', _keep),
+        ('DELETE', '/citronweir/kv-lease-end/{lease}', _end),
+    ):
+        app.router.add_route(method, path, _make_handler(store, path, answer))
+    return app
+
+
+def _make_handler(store, path, answer):
+    async def handle(request):
+        store.calls[path] = store.calls.get(path, 0) + 1
+        match store.outage:
+            case Outage.BUSY:
+                return web.Response(status=503)
+            case Outage.MANY:
+                return web.Response(status=429)
+            case Outage.SILENT:
+                await asyncio.sleep(3600)
+            case Outage.RESET:
+                request.transport.abort()
+                return web.Response(status=503)
+        return await answer(store, request)
+
+    return handle
+
+
+async def _key(store, request):
+    item = store.items.get(request.query['key'])
+    if item is None:
+        return web.Response(status=404)
+    shown = _show(request.query['key'], item)
+    return web.json_response(shown | {'current_rev': store.revision})
+
+
+async def _range(store, request):
+    prefix = request.query['path_prefix']
+    after = request.query.get('after', '')
+    keys = sorted(
+        key for key in store.items if key.startswith(prefix) and key > after
+    )
+    page = keys[: store.page]
+    return web.json_response(
+        {
+            'items': [_show(key, store.items[key]) for key in page],
+            'has_more': len(keys) > len(page),
+            'current_rev': store.revision,
+        }
+    )
+
+
+async def _watch(store, request):
+    prefix, after = request.query['path_prefix'], int(request.query['after'])
+    loop = asyncio.get_running_loop()
+    end = loop.time() + int(request.query['wait_ms']) / 1000
+    while True:
+        if after < store.compacted:
+            return web.Response(status=410)
+        events = [
+            _show_event(key, revision, item)
+            for revision, key, item in store.history
+            if revision > after and key.startswith(prefix)
+        ]
+        left = end - loop.time()
+        if (events and not store.is_mute) or left <= 0:
+            shown = [] if store.is_mute else events
+            return web.json_response(
+                {'events': shown, 'current_rev': store.revision}
+            )
+        try:
+            async with asyncio.timeout(left):
+                await store.changed.wait()
+        except TimeoutError:
+            pass
+
+
+async def _txn(store, request):
+    fields = await request.json()
+    for row in fields.get('expect_rev', ()):
+        item = store.items.get(row['key'])
+        if (item.revision if item else 0) != row['revision']:
+            items = [
+                _show(row['key'], store.items[row['key']])
+                for row in fields['expect_rev']
+                if row['key'] in store.items
+            ]
+            return web.json_response({'items': items}, status=412)
+    for row in fields.get('puts', ()):
+        if row.get('lease') and row['lease'] not in store.leases:
+            return web.Response(status=404)
+    for row in fields.get('puts', ()):
+        value = base64.b64decode(row['value'], validate=True)
+        put(store, row['key'], value, row.get('lease', 0))
+    for key in fields.get('remove', ()):
+        remove(store, key)
+    if store.lost_writes:
+        store.lost_writes -= 1
+        request.transport.abort()
+    return web.json_response({'revision': store.revision})
+
+
+async def _lease(store, request):
+    ttl = (await request.json())['ttl_ms']
+    lease = next(store.lease_ids)
+    store.leases[lease] = ttl
+    return web.json_response({'lease': lease, 'ttl_ms': ttl})
+
+
+async def _keep(store, request):
+    lease = int(request.match_info['lease'])
+    if lease not in store.leases:
+        return web.Response(status=404)
+    return web.json_response({'ttl_ms': store.leases[lease]})
+
+
+async def _end(store, request):
+    end_lease(store, int(request.match_info['lease']))
+    return web.json_response({})
+
+
+def _record(store, key, item):
+    store.history.append((store.revision, key, item))
+    _wake(store)
+
+
+def _wake(store):
+    store.changed.set()
+    store.changed = asyncio.Event()
+
+
+def _show(key, item):
+    return {
+        'key': key,
+        'value': base64.b64encode(item.value).decode(),
+        'revision': item.revision,
+        'created': item.created,
+        'lease': item.lease,
+    }
+
+
+def _show_event(key, revision, item):
+    if item is None:
+        return {'key': key, 'revision': revision, 'removed': True}
+    return _show(key, item)
