--- a/citronweir/core/__init__.py
+++ b/citronweir/core/__init__.py
@@ -75,6 +75,7 @@
 from citronweir.core._membership import take_gossip
 from citronweir.core._placement import AVOID_PENALTY
 from citronweir.core._placement import choose_listed
+from citronweir.core._placement import choose_trial
 from citronweir.core._placement import note_abandoned
 from citronweir.core._placement import note_answer
 from citronweir.core._placement import note_failure_of
--- a/citronweir/core/_placement.py
+++ b/citronweir/core/_placement.py
@@ -13,10 +13,18 @@
 START_SAME_DC = 0.008
 START_SAME_REGION = 0.010
 START_OTHER_REGION = 0.030
-SMOOTHING = 0.2  # weight of the newest answer
-# An estimate moves back to its start within this time without answers, so
-# that a replica which was slow once is tried again.
-FORGET_TIME = 4.0  # seconds
+SMOOTHING = 0.25  # weight of the newest answer
+# A longer answer counts as so many times the estimate: a pause of 120 ms
+# must not make a near replica look slower than one in another region,
+# while three slow answers in a row do.
+CLIP_FACTOR = 3.0
+# A replica that is slow or failed is tried again after this time, beside
+# a request that does not depend on it.
+TRIAL_TIME = 1.0  # seconds
+# Failures in succession after which only a trial shows a recovery.
+TRIAL_FAILURES = 2
+# Times the start estimate from which a replica counts as slow.
+SLOW_FACTOR = 2.0
 # A request that is out for this many times the expected seconds shows
 # that its replica is stalled.
 STALL_FACTOR = 3.0
@@ -38,7 +46,7 @@
     Attributes:
         start: Seconds to an answer that were assumed at first.
         latency: Smoothed seconds to an answer.
-        updated: Monotonic second of the last answer.
+        tried_at: Monotonic second of the last request.
         out: Requests that are out, with the monotonic second of each.
         failures: Failures in succession.
         avoid_until: Monotonic second until which others are preferred.
@@ -49,7 +57,7 @@
 
     start: float
     latency: float
-    updated: float
+    tried_at: float
     out: dict[int, float] = dataclasses.field(default_factory=dict)
     failures: int = 0
     avoid_until: float = 0.0
@@ -92,8 +100,7 @@
         slots: Requests that it runs at the same time.
         now: Monotonic clock, seconds.
     """
-    age = min(1.0, max(0.0, now - load.updated) / FORGET_TIME)
-    latency = load.latency + (load.start - load.latency) * age
+    latency = load.latency
     waiting = len(load.out)
     if now - load.queued_at < LOAD_TIME:
         waiting += load.queued
@@ -104,7 +111,7 @@
         oldest = now - next(iter(load.out.values()))
         if oldest > max(STALL_MIN, STALL_FACTOR * latency):
             expected += oldest
-    if now < load.avoid_until:
+    if now < load.avoid_until or load.failures >= TRIAL_FAILURES:
         expected += AVOID_PENALTY
     return expected
 
@@ -146,9 +153,42 @@
     return None if best is None else (best, best_time)
 
 
+def choose_trial(
+    loads: abc.Mapping[data.ReplicaId, ReplicaLoad],
+    replicas: abc.Iterable[data.ListedReplica],
+    tried: abc.Container[data.ReplicaId],
+    now: float,
+) -> data.ListedReplica | None:
+    """Finds a replica that was slow or failed and is due for a trial.
+
+    Without trials a replica that is avoided would never show that it has
+    recovered.
+
+    Args:
+        loads: What was observed.
+        replicas: Replicas to choose from.
+        tried: Replicas to leave out.
+        now: Monotonic clock, seconds.
+    """
+    for replica in replicas:
+        load = loads.get(replica.replica_id)
+        if load is None or replica.replica_id in tried:
+            continue
+        is_slow = load.latency > SLOW_FACTOR * load.start
+        is_due = now - load.tried_at >= TRIAL_TIME and now >= load.avoid_until
+        if (
+            is_due
+            and not load.out
+            and (is_slow or load.failures >= TRIAL_FAILURES)
+        ):
+            return replica
+    return None
+
+
 def note_sent(load: ReplicaLoad, number: int, now: float) -> None:
     """Notes that a request went out; numbers grow."""
     load.out[number] = now
+    load.tried_at = now
 
 
 def note_answer(load: ReplicaLoad, number: int, now: float) -> None:
@@ -156,8 +196,11 @@
     sent_at = load.out.pop(number, None)
     if sent_at is None:
         return
-    load.latency += SMOOTHING * (now - sent_at - load.latency)
-    load.updated = now
+    seconds = min(now - sent_at, CLIP_FACTOR * load.latency)
+    if load.failures or seconds * SLOW_FACTOR < load.latency:
+        load.latency = max(seconds, load.start)  # it has recovered
+    else:
+        load.latency += SMOOTHING * (seconds - load.latency)
     load.failures = 0
     load.avoid_until = 0.0
 
--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -32,11 +32,16 @@
             lambda: 1.0 + JITTER * parts.rng.random(),
         )
 
+    def choose_trial(name, tried):
+        usable = core.list_usable(directory, name)
+        return core.choose_trial(parts.loads, usable, tried, time.monotonic())
+
     return service.RequestPeers(
         now=time.monotonic,
         find_index=lambda: parts.catalogue.index,
         list_usable=lambda name: core.list_usable(directory, name),
         choose=choose,
+        choose_trial=choose_trial,
         send=_make_send(parts),
         leave=lambda handle: upstreams.leave(parts.lanes, *handle),
         withdraw=lambda handle: upstreams.withdraw(parts.lanes, *handle),
--- a/citronweir/programs/_wire_front.py
+++ b/citronweir/programs/_wire_front.py
@@ -22,7 +22,6 @@
 # Seconds after which a node serves without the table of another node:
 # the VM list may only name nodes that are gone.
 JOIN_LIMIT = 3.0
-_SUSPECTED = (core.SuspectState.SUSPECT, core.SuspectState.CONVICTED)
 _USABLE = (core.ReplicaState.READY, core.ReplicaState.WARMING)
 
 
@@ -50,10 +49,6 @@
         state = core.find_state(suspects, _fingerprint(req), time.time())
         return state is core.SuspectState.CONVICTED
 
-    def is_suspect(req):
-        state = core.find_state(suspects, _fingerprint(req), time.time())
-        return state in _SUSPECTED
-
     def needs_canary(req):
         return core.needs_canary(
             suspects, _fingerprint(req), time.time(), parts.cfg.canary
@@ -73,7 +68,6 @@
         record=functools.partial(telemetry.record_search, parts.metrics),
         budgets=parts.budgets,
         admission=parts.admission,
-        is_suspect=is_suspect,
     )
 
 
--- a/citronweir/service/_attempts.py
+++ b/citronweir/service/_attempts.py
@@ -19,6 +19,8 @@
 # the expected seconds.
 HEDGE_START_FACTOR = 3.0
 HEDGE_MIN_DELAY = 0.008  # seconds
+# A hedge later than this share of the target could not be in time itself.
+HEDGE_LATEST_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,6 +33,8 @@
         list_usable: Replicas of a service that take new requests.
         choose: Chooses a replica of a service that was not tried, with
             its expected seconds to the answer.
+        choose_trial: Finds a replica of a service that was slow or failed
+            and is due for a trial.
         send: Sends a request to a replica and gives a handle; the last
             argument takes the outcome and the seconds that it took.
         leave: Ends what is out for a caller that has left.
@@ -51,6 +55,10 @@
         [core.ServiceName, abc.Container[core.ReplicaId]],
         tuple[core.ListedReplica, float] | None,
     ]
+    choose_trial: abc.Callable[
+        [core.ServiceName, abc.Container[core.ReplicaId]],
+        core.ListedReplica | None,
+    ]
     send: abc.Callable[..., object]
     leave: abc.Callable[[object], None]
     withdraw: abc.Callable[[object], bool]
@@ -156,6 +164,20 @@
     run.on_end = on_end
     request.peers.note_request(run.service)
     _attempt(request, run, core.AttemptKind.FIRST)
+    if run.out and request.route.repeat is core.Repeat.IDEMPOTENT:
+        _try_beside(request, run)
+
+
+def _try_beside(request, run):
+    """Sends the request to a replica that may have recovered as well."""
+    if run.reached >= request.route.max_attempts:
+        return
+    trial = request.peers.choose_trial(run.service, run.tried)
+    kind = core.AttemptKind.HEDGE
+    if trial is not None and request.peers.take_extra(run.service, kind):
+        run.is_hedged = True
+        request.hedges += 1
+        _send(request, run, (trial, 0.0), kind)
 
 
 def hedge_run(request: Request, run: Run) -> None:
@@ -195,7 +217,8 @@
     run.out += 1
     key = (request.route.name, replica.dc)
     if kind is core.AttemptKind.FIRST:
-        run.hedge_at = peers.now() + _hedge_delay(peers, key, expected)
+        delay = _hedge_delay(request, key, expected)
+        run.hedge_at = peers.now() + delay
 
     def take(outcome, seconds):
         if isinstance(outcome, core.Replied):
@@ -209,12 +232,13 @@
     request.handles.append(handle)
 
 
-def _hedge_delay(peers, key, expected):
-    window = peers.windows.get(key)
+def _hedge_delay(request, key, expected):
+    window = request.peers.windows.get(key)
     delay = None if window is None else window.delay
     if delay is None:
         delay = HEDGE_START_FACTOR * expected
-    return max(HEDGE_MIN_DELAY, delay)
+    latest = HEDGE_LATEST_SHARE * request.route.target
+    return max(HEDGE_MIN_DELAY, min(delay, latest))
 
 
 def _learn(peers, key, seconds):
--- a/citronweir/service/_fanout.py
+++ b/citronweir/service/_fanout.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 
 from citronweir import core
 from citronweir import telemetry
@@ -17,8 +18,11 @@
 CANARY_TRIES = 2
 # Seconds for which a search waits after a canary's reply was lost. By then
 # the owner has found out whether the replica crashed and has told the
-# other nodes; going on sooner took down one replica more for each node.
+# other nodes. The wait is drawn from the span above it as well: of several
+# nodes with the same request one goes first, and its crash convicts the
+# request before the others send it again.
 VERDICT_TIME = 0.15
+VERDICT_SPREAD = 0.3
 # Times that the range of a piece is tiled again after it was split.
 MAX_SPLITS = 2
 # A whole search is planned again once at most, which bounds its load.
@@ -185,13 +189,14 @@
         fanout.verdict_timer = None
         if fanout.done.done() or piece_run.settled:
             return
-        if fanout.peers.is_suspect(fanout.req):
+        if fanout.peers.is_quarantined(fanout.req):
             _settle(fanout, piece_run)
         else:
             _retry(fanout, piece_run, core.take_retry)
 
+    wait = VERDICT_TIME + random.uniform(0.0, VERDICT_SPREAD)
     loop = asyncio.get_running_loop()
-    fanout.verdict_timer = loop.call_later(VERDICT_TIME, go_on)
+    fanout.verdict_timer = loop.call_later(wait, go_on)
 
 
 def _retry(fanout, piece_run, take):
@@ -290,9 +295,7 @@
 def _may_send_again(fanout, piece_run):
     """Counts a lost canary; returns whether another piece may go first."""
     fanout.canary_seen += piece_run.seen
-    return fanout.canary_seen < CANARY_TRIES and not fanout.peers.is_suspect(
-        fanout.req
-    )
+    return fanout.canary_seen < CANARY_TRIES
 
 
 def _end_piece(piece_run):
--- a/citronweir/service/_peers.py
+++ b/citronweir/service/_peers.py
@@ -28,7 +28,6 @@
         record: Takes the report of each finished search.
         budgets: Budgets of hedges and retries by rank.
         admission: Running searches of the node.
-        is_suspect: Whether the search may have crashed an upstream.
     """
 
     now: abc.Callable[[], float]
@@ -52,4 +51,3 @@
     record: abc.Callable[[core.SearchReport], None]
     budgets: abc.Mapping[core.Rank, core.Budgets]
     admission: core.Admission
-    is_suspect: abc.Callable[[core.SearchRequest], bool] = lambda req: False
