--- a/citronweir/core/_grouping.py
+++ b/citronweir/core/_grouping.py
@@ -20,6 +20,8 @@
 MAX_SHARDS = 32
 # Shards from which a hop to another region is worth its messages.
 MIN_REMOTE = 3
+# Share of the largest region's shards from which another is as good.
+ALIKE = 0.8
 # Nodes that may ask a group, one after the other.
 OWNERS = 3
 
@@ -31,6 +33,7 @@
     list_usable: ListUsable,
     nodes: abc.Iterable[data.ListedNode],
     vantage: placement.Vantage,
+    turn: int = 0,
 ) -> tuple[data.ShardGroup, ...]:
     """Splits the shards of a route into groups.
 
@@ -39,12 +42,14 @@
         list_usable: Replicas of a service that take new requests.
         nodes: Nodes of all regions that may ask, without this one.
         vantage: Where this node stands.
+        turn: Number that rotates the choice among regions which hold
+            about as many of the shards, so that each gets its part.
 
     Returns:
         Groups that together hold every shard once.
     """
     own = vantage.regions.get(vantage.dc, '')
-    by_region = _split_by_region(route, list_usable, vantage, own)
+    by_region = _split_by_region(route, list_usable, vantage, own, turn)
     by_id = {node.node_id: node for node in nodes}
     groups, local = [], []
     for region, places in by_region.items():
@@ -69,7 +74,7 @@
     return tuple(groups)
 
 
-def _split_by_region(route, list_usable, vantage, own):
+def _split_by_region(route, list_usable, vantage, own, turn):
     """Finds the region of each shard: this one, else one that many share."""
     choices = [
         {
@@ -78,11 +83,7 @@
         }
         for service in route.shards
     ]
-    counts = {}
-    for regions in choices:
-        for region in regions - {own}:
-            counts[region] = counts.get(region, 0) + 1
-    ranked = sorted(counts, key=lambda item: (-counts[item], item))
+    ranked = _rank_regions(choices, own, turn)
     by_region = {}
     for place, regions in enumerate(choices):
         region = own
@@ -92,6 +93,21 @@
     return by_region
 
 
+def _rank_regions(choices, own, turn):
+    """Ranks the other regions by the shards that they hold for this one."""
+    counts = {}
+    for regions in choices:
+        if own not in regions:
+            for region in regions:
+                counts[region] = counts.get(region, 0) + 1
+    ranked = sorted(counts, key=lambda item: (-counts[item], item))
+    alike = [
+        item for item in ranked if counts[item] >= ALIKE * counts[ranked[0]]
+    ]
+    place = turn % len(alike) if alike else 0
+    return alike[place:] + alike[:place] + ranked[len(alike) :]
+
+
 def _find_holding_dcs(route, places, list_usable):
     return {
         replica.dc
--- a/citronweir/programs/_front_nodes.py
+++ b/citronweir/programs/_front_nodes.py
@@ -17,6 +17,13 @@
 HEARD_TIME = 1.6  # seconds
 # Seconds for which the split of a route's shards is kept.
 PLAN_TIME = 0.25
+# Splits of a route that are used in turn; six have two and three regions
+# take turns evenly.
+PLANS = 6
+# What the two nodes and their timers add to the way of a message.
+HOP_TIME = 0.005  # seconds
+# Spread of the estimates, so that owners that look alike share the load.
+OWNER_JITTER = 0.5
 ONE_WAY_SMOOTHING = 0.1  # weight of the newest round trip
 
 
@@ -112,7 +119,9 @@
 ) -> tuple[core.ShardGroup, ...]:
     """Splits the shards of a route among nodes, from a cache."""
     now = time.monotonic()
-    cached = parts.plans.get(route.name)
+    parts.turn = (parts.turn + 1) % PLANS
+    key = (route.name, parts.turn)
+    cached = parts.plans.get(key)
     if cached is not None and cached[0] is route and now < cached[1]:
         return cached[2]
     groups = core.plan_groups(
@@ -120,13 +129,13 @@
         lambda name: core.list_usable(parts.catalogue.directory, name),
         core.list_others(parts.catalogue.nodes, parts.own.node_id),
         parts.vantage,
+        parts.turn,
     )
-    parts.plans[route.name] = (route, now + PLAN_TIME, groups)
+    parts.plans[key] = (route, now + PLAN_TIME, groups)
     return groups
 
 
-def is_reachable(parts: parts_.FrontParts, node: core.ListedNode) -> bool:
-    """Returns whether another node can be asked for a group of shards."""
+def _is_reachable(parts, node):
     if not nodes.is_open(parts.links, node.address, HEARD_TIME):
         nodes.keep_open(parts.links, node.address)
         return False
@@ -166,7 +175,26 @@
 
 
 def one_way(parts: parts_.FrontParts, node: core.ListedNode) -> float:
-    """Returns the seconds that a message to a node takes."""
+    """Returns the seconds from an answer of a node to its arrival here."""
+    return HOP_TIME + _find_one_way(parts, node)
+
+
+def choose_owner(
+    parts: parts_.FrontParts, owners: tuple[core.ListedNode, ...]
+) -> core.ListedNode | None:
+    """Chooses the owner of a group that answers soonest, if any can."""
+    reachable = [node for node in owners if _is_reachable(parts, node)]
+    now = time.monotonic()
+
+    def expected(node):
+        load = _find_load(parts, node)
+        jitter = 1.0 + OWNER_JITTER * parts.rng.random()
+        return core.expected_time(load, 1, now) * jitter
+
+    return min(reachable, key=expected, default=None)
+
+
+def _find_one_way(parts, node):
     start = core.start_estimate(parts.vantage, node.dc) / 2
     return parts.one_way.get(node.node_id, start)
 
@@ -175,12 +203,12 @@
     """Keeps the streams to the nodes open that are asked for groups."""
     for _, _, groups in parts.plans.values():
         for group in groups:
-            for node in group.owners[:2]:
+            for node in group.owners:
                 nodes.keep_open(parts.links, node.address)
 
 
 def _note_one_way(parts, node, round_trip):
-    known = one_way(parts, node)
+    known = _find_one_way(parts, node)
     seconds = max(0.0, round_trip / 2)
     known += ONE_WAY_SMOOTHING * (min(seconds, 2 * known) - known)
     parts.one_way[node.node_id] = known
--- a/citronweir/programs/_front_parts.py
+++ b/citronweir/programs/_front_parts.py
@@ -23,7 +23,8 @@
         group_windows: The same for answers of other nodes.
         node_loads: What this node observed of each other node.
         one_way: Seconds that a message to each node takes.
-        plans: Split of each route's shards, with its end of use.
+        plans: Splits of each route's shards, with their end of use.
+        turn: Which of the splits is next.
         sent: Number of the last request to a replica or node.
         lost_at: Monotonic second since which the store is silent.
         is_stopping: Whether SIGTERM has come.
@@ -59,12 +60,13 @@
     )
     one_way: dict[core.NodeId, float] = dataclasses.field(default_factory=dict)
     plans: dict[
-        core.RouteName,
+        tuple[core.RouteName, int],
         tuple[core.Route, float, tuple[core.ShardGroup, ...]],
     ] = dataclasses.field(default_factory=dict)
     registration: service.Registration = dataclasses.field(
         default_factory=service.Registration
     )
+    turn: int = 0
     sent: int = 0
     lost_at: float | None = None
     is_stopping: bool = False
--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -49,7 +49,7 @@
         take_extra=lambda name, kind: core.take_extra(parts.extra, name, kind),
         note_request=lambda name: core.note_request(parts.extra, name),
         plan_groups=lambda route: nodes.plan_groups(parts, route),
-        is_reachable=lambda node: nodes.is_reachable(parts, node),
+        choose_owner=lambda owners: nodes.choose_owner(parts, owners),
         ask_group=lambda node, query: nodes.ask_group(parts, node, query),
         one_way=lambda node: nodes.one_way(parts, node),
         windows=parts.windows,
--- a/citronweir/service/_attempts.py
+++ b/citronweir/service/_attempts.py
@@ -45,9 +45,9 @@
         take_extra: Takes the token of a hedge or retry at a service.
         note_request: Earns a service's share of one request.
         plan_groups: Splits the shards of a route among nodes.
-        is_reachable: Whether another node can be asked.
+        choose_owner: Chooses a node that can be asked for a group.
         ask_group: Has another node ask a group of shards.
-        one_way: Seconds that a message to another node takes.
+        one_way: Seconds from an answer of another node to its arrival.
         windows: Latencies of each route, by data centre of the replica.
         group_windows: The same of the answers of other nodes.
         record: Takes what became of each request.
@@ -72,7 +72,9 @@
     take_extra: abc.Callable[[core.ServiceName, core.AttemptKind], bool]
     note_request: abc.Callable[[core.ServiceName], None]
     plan_groups: abc.Callable[[core.Route], tuple[core.ShardGroup, ...]]
-    is_reachable: abc.Callable[[core.ListedNode], bool]
+    choose_owner: abc.Callable[
+        [tuple[core.ListedNode, ...]], core.ListedNode | None
+    ]
     ask_group: abc.Callable[
         [core.ListedNode, core.GroupQuery], abc.Awaitable[core.GroupAnswer]
     ]
--- a/citronweir/service/_groups.py
+++ b/citronweir/service/_groups.py
@@ -14,7 +14,7 @@
 def start_group(request: attempts.Request, group: attempts.Group) -> None:
     """Asks the services of a group, here or through another node."""
     peers = request.peers
-    owner = next(filter(peers.is_reachable, group.owners), None)
+    owner = peers.choose_owner(group.owners)
     if owner is None:
         ask_here(request, group, core.AttemptKind.FIRST)
         return
--- a/citronweir/service/_requests_test.py
+++ b/citronweir/service/_requests_test.py
@@ -138,7 +138,7 @@
         take_extra=take_extra,
         note_request=lambda name: world.earned.update([name]),
         plan_groups=lambda route: world.groups,
-        is_reachable=lambda node: True,
+        choose_owner=lambda owners: owners[0],
         ask_group=ask_group,
         one_way=lambda node: 0.008,
         windows={},
