--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -37,6 +37,14 @@
         usable = core.list_usable(directory, name)
         return core.choose_trial(parts.loads, usable, tried, time.monotonic())
 
+    def list_far(node, name):
+        regions = parts.vantage.regions
+        return frozenset(
+            replica.replica_id
+            for replica in core.list_usable(directory, name)
+            if regions.get(replica.dc) != regions.get(node.dc)
+        )
+
     return service.RequestPeers(
         now=time.monotonic,
         find_index=lambda: parts.catalogue.index,
@@ -51,6 +59,7 @@
         plan_groups=lambda route: nodes.plan_groups(parts, route),
         choose_owner=lambda owners: nodes.choose_owner(parts, owners),
         ask_group=lambda node, query: nodes.ask_group(parts, node, query),
+        list_far=list_far,
         one_way=lambda node: nodes.one_way(parts, node),
         windows=parts.windows,
         group_windows=parts.group_windows,
--- a/citronweir/service/_attempts.py
+++ b/citronweir/service/_attempts.py
@@ -22,6 +22,12 @@
 # A hedge later than this share of the target could not be in time itself.
 HEDGE_LATEST_SHARE = 0.5
 
+# Refusals of this node alone: nothing arrived at the replica, so that
+# another attempt is no extra load.
+_NOT_ARRIVED = frozenset(
+    {core.NotRunReason.UNREACHABLE, core.NotRunReason.QUEUE_FULL}
+)
+
 Windows = dict[tuple[core.RouteName, core.DataCentre], core.LatencyWindow]
 
 
@@ -47,6 +53,7 @@
         plan_groups: Splits the shards of a route among nodes.
         choose_owner: Chooses a node that can be asked for a group.
         ask_group: Has another node ask a group of shards.
+        list_far: Replicas of a service outside of a node's region.
         one_way: Seconds from an answer of another node to its arrival.
         windows: Latencies of each route, by data centre of the replica.
         group_windows: The same of the answers of other nodes.
@@ -78,6 +85,9 @@
     ask_group: abc.Callable[
         [core.ListedNode, core.GroupQuery], abc.Awaitable[core.GroupAnswer]
     ]
+    list_far: abc.Callable[
+        [core.ListedNode, core.ServiceName], frozenset[core.ReplicaId]
+    ]
     one_way: abc.Callable[[core.ListedNode], float]
     windows: Windows
     group_windows: Windows
@@ -144,6 +154,7 @@
         runs: Started where this node asks the services itself.
         parts: Runs with a reply.
         open_runs: Runs that may still get one.
+        owner: Node that was asked.
         query: Call of another node that is out.
         is_asked: Whether another node may have asked the services.
         is_absent: Whether another node answered without the services.
@@ -156,6 +167,7 @@
     runs: list[Run] = dataclasses.field(default_factory=list)
     parts: int = 0
     open_runs: int = 0
+    owner: core.ListedNode | None = None
     query: asyncio.Future | None = None
     is_asked: bool = False
     is_absent: bool = False
@@ -209,7 +221,11 @@
     group.runs.append(run)
     group.open_runs += 1
     if kind is not core.AttemptKind.FIRST:
+        # The other node may have reached replicas already, those near to
+        # it first; another one could be one more than the route allows.
         run.reached = request.route.max_attempts - 1
+        if group.owner is not None:
+            run.tried |= request.peers.list_far(group.owner, run.service)
         _attempt(request, group, run, kind)
         return
     request.peers.note_request(run.service)
@@ -332,6 +348,9 @@
             run.reason = reason
             if reason is not core.NotRunReason.SHED:
                 run.reached -= 1  # it did not reach that replica
+            if reason in _NOT_ARRIVED and not run.out:
+                _attempt(request, group, run, core.AttemptKind.FIRST)
+                return
         case core.Lost():
             run.is_executed = True
     if run.is_executed and request.route.repeat is core.Repeat.NON_IDEMPOTENT:
--- a/citronweir/service/_groups.py
+++ b/citronweir/service/_groups.py
@@ -27,7 +27,7 @@
         request.deadline,
     )
     sent_at = peers.now()
-    group.is_asked = True
+    group.is_asked, group.owner = True, owner
     group.query = asyncio.ensure_future(peers.ask_group(owner, query))
     group.query.add_done_callback(
         lambda query: _take_answer(request, group, owner, sent_at, query)
@@ -113,7 +113,7 @@
             group.merged = outcome
             _set_apart(request, group, query.result().absent)
         case core.Declined():
-            group.is_asked = False
+            group.is_asked, group.owner = False, None
             ask_here(request, group, core.AttemptKind.FIRST)
         case _:
             ask_here(request, group, core.AttemptKind.RETRY)
@@ -129,5 +129,7 @@
         name for name in group.services if name not in names
     )
     request.groups.append(
-        attempts.Group((), names, is_asked=True, is_absent=True)
+        attempts.Group(
+            (), names, owner=group.owner, is_asked=True, is_absent=True
+        )
     )
--- a/citronweir/service/_requests_test.py
+++ b/citronweir/service/_requests_test.py
@@ -140,6 +140,7 @@
         plan_groups=lambda route: world.groups,
         choose_owner=lambda owners: owners[0],
         ask_group=ask_group,
+        list_far=lambda node, name: frozenset({f'{name}-0'}),
         one_way=lambda node: 0.008,
         windows={},
         group_windows={},
@@ -227,6 +228,15 @@
     assert len(world.sends) == len(SHARDS)
 
 
+def test_replica_that_cannot_be_reached_costs_no_token():
+    """Guards answers: a crashed replica refuses connections at once."""
+    gone = core.NotRun(core.NotRunReason.UNREACHABLE)
+    world = World(tokens=0, script={'s1': [(0.0, gone), (0.01, _reply())]})
+    outcome, _ = _run(world)
+    assert outcome.missing == 0
+    assert not world.spent
+
+
 @pytest.mark.parametrize('status', [200, 204, 404, 409])
 def test_plain_reply_is_passed_on(status):
     """Guards against an answer that is not the replica's own."""
@@ -314,6 +324,8 @@
     assert outcome.missing == 0
     assert seconds < GATHER.target
     assert world.spent == {'s2': 1, 's3': 1}
+    # Only replicas near to the silent node, which it asked first itself.
+    assert {name for _, name in world.sends[2:]} == {'s2-1', 's3-1'}
 
 
 def test_node_that_was_not_asked_costs_no_token():
