--- a/citronweir/core/__init__.py
+++ b/citronweir/core/__init__.py
@@ -56,6 +56,8 @@
 from citronweir.core._gathering import min_parts
 from citronweir.core._gathering import Verdict
 from citronweir.core._gossip import get_own_member
+from citronweir.core._grouping import list_owned
+from citronweir.core._grouping import OWNERS
 from citronweir.core._grouping import plan_groups
 from citronweir.core._health import note_delays
 from citronweir.core._health import note_service
--- a/citronweir/core/_grouping.py
+++ b/citronweir/core/_grouping.py
@@ -32,6 +32,7 @@
     route: data.Route,
     list_usable: ListUsable,
     nodes: abc.Iterable[data.ListedNode],
+    own_id: data.NodeId,
     vantage: placement.Vantage,
     turn: int = 0,
 ) -> tuple[data.ShardGroup, ...]:
@@ -40,7 +41,8 @@
     Args:
         route: Route with shards.
         list_usable: Replicas of a service that take new requests.
-        nodes: Nodes of all regions that may ask, without this one.
+        nodes: Nodes of all regions that may ask, with this one.
+        own_id: This node.
         vantage: Where this node stands.
         turn: Number that rotates the choice among regions which hold
             about as many of the shards, so that each gets its part.
@@ -60,20 +62,62 @@
             if vantage.regions.get(node.dc, '') == region
             and (region == own or node.dc in held)
         ]
-        is_local = region == own and len(places) <= MAX_SHARDS
-        if is_local or not peers or len(places) < MIN_REMOTE:
-            local += places
-            continue
-        for number, chunk in enumerate(_chunk(places)):
-            name = f'{route.shards[0]}/{region}/{number}'
-            ranked = routing.rank_nodes(peers, name)[:OWNERS]
+        for number, chunk in _chunk(route, places):
+            if len(chunk) < MIN_REMOTE or (
+                region == own and len(route.shards) <= MAX_SHARDS
+            ):
+                local += chunk
+                continue
+            ranked = rank_owners(route, region, number, peers)
+            if not ranked or own_id in ranked:
+                local += chunk
+                continue
             owners = tuple(by_id[node_id] for node_id in ranked)
-            groups.append(data.ShardGroup(tuple(chunk), owners))
+            groups.append(data.ShardGroup(chunk, owners))
     if local:
         groups.append(data.ShardGroup(tuple(sorted(local))))
     return tuple(groups)
 
 
+def rank_owners(
+    route: data.Route,
+    region: str,
+    number: int,
+    node_ids: abc.Iterable[data.NodeId],
+) -> list[data.NodeId]:
+    """Ranks the nodes of a region that may ask a group of shards.
+
+    Args:
+        route: Route with shards.
+        region: Region of the nodes and of the replicas to ask.
+        number: Number of the group.
+        node_ids: Nodes of the region.
+    """
+    name = f'{route.shards[0]}/{region}/{number}'
+    return routing.rank_nodes(node_ids, name)[:OWNERS]
+
+
+def list_owned(
+    route: data.Route,
+    nodes: abc.Iterable[data.ListedNode],
+    own_id: data.NodeId,
+    vantage: placement.Vantage,
+) -> list[int]:
+    """Lists the shards of a route that this node asks for its region."""
+    region = vantage.regions.get(vantage.dc, '')
+    peers = [
+        node.node_id
+        for node in nodes
+        if vantage.regions.get(node.dc, '') == region
+    ]
+    return [
+        place
+        for number, chunk in _chunk(route, range(len(route.shards)))
+        if own_id in rank_owners(route, region, number, peers)
+        for place in chunk
+    ]
+
+
 def _split_by_region(route, list_usable, vantage, own, turn):
     """Finds the region of each shard: this one, else one that many share."""
     choices = [
@@ -116,6 +160,14 @@
     }
 
 
-def _chunk(places):
-    count = -(-len(places) // MAX_SHARDS)
-    return [places[start::count] for start in range(count)]
+def _chunk(route, places):
+    """Splits places into numbered groups.
+
+    The number of a shard follows from its place alone, so that the loss
+    of some replicas does not move the other shards to other nodes.
+    """
+    count = -(-len(route.shards) // MAX_SHARDS)
+    for number in range(count):
+        chunk = tuple(place for place in places if place % count == number)
+        if chunk:
+            yield number, chunk
--- a/citronweir/core/_grouping_test.py
+++ b/citronweir/core/_grouping_test.py
@@ -57,7 +57,12 @@
 
 def _plan(holders, count, nodes=NODES, turn=0):
     return core.plan_groups(
-        _route(count), _list_usable(holders), nodes, VANTAGE, turn
+        _route(count),
+        _list_usable(holders),
+        nodes,
+        NODES[0].node_id,
+        VANTAGE,
+        turn,
     )
 
 
@@ -91,12 +96,14 @@
     """Guards latency: one process cannot ask hundreds of shards in time."""
     holders = {f's{n}': ['d0'] for n in range(490)}
     groups = _plan(holders, 490)
-    sizes = [len(group.places) for group in groups]
-    assert max(sizes) <= grouping.MAX_SHARDS
-    assert len(groups) == -(-490 // grouping.MAX_SHARDS)
+    asked = [group for group in groups if group.owners]
+    assert max(len(group.places) for group in asked) <= grouping.MAX_SHARDS
     assert all(
-        REGIONS[node.dc] == 'r0' for item in groups for node in item.owners
+        REGIONS[node.dc] == 'r0' for item in asked for node in item.owners
     )
+    owned = core.list_owned(_route(490), NODES, NODES[0].node_id, VANTAGE)
+    (here,) = [group for group in groups if not group.owners]
+    assert list(here.places) == sorted(owned)
 
 
 def test_owners_are_steady_while_other_nodes_come_and_go():
--- a/citronweir/programs/_compose_front.py
+++ b/citronweir/programs/_compose_front.py
@@ -180,10 +180,29 @@
         )
     if parts.catalogue.index is None or parts.is_stopping:
         return
-    for name in core.list_services(parts.catalogue.index.table):
+    _warm(parts)
+
+
+def _warm(parts):
+    """Keeps a connection open to each replica that this node uses."""
+    directory, table = parts.catalogue.directory, parts.catalogue.index.table
+    owned = {
+        route.shards[place]
+        for route in table.routes
+        if route.shards
+        for place in core.list_owned(
+            route,
+            wiring.list_nodes(parts),
+            parts.own.node_id,
+            parts.vantage,
+        )
+    }
+    for name in core.list_services(table):
+        if not requests.is_kept_warm(parts, name, owned):
+            continue
         for replica in core.list_usable(directory, name):
             limit = requests.conn_limit(parts, name)
-            upstreams.warm(lanes, replica, limit)
+            upstreams.warm(parts.lanes, replica, limit)
 
 
 def _note_reload(parts):
--- a/citronweir/programs/_front_nodes.py
+++ b/citronweir/programs/_front_nodes.py
@@ -16,7 +16,7 @@
 # for longer is not asked.
 HEARD_TIME = 1.6  # seconds
 # Seconds for which the split of a route's shards is kept.
-PLAN_TIME = 0.25
+PLAN_TIME = 1.0
 # Splits of a route that are used in turn; six have two and three regions
 # take turns evenly.
 PLANS = 6
@@ -127,7 +127,8 @@
     groups = core.plan_groups(
         route,
         lambda name: core.list_usable(parts.catalogue.directory, name),
-        core.list_others(parts.catalogue.nodes, parts.own.node_id),
+        list_nodes(parts),
+        parts.own.node_id,
         parts.vantage,
         parts.turn,
     )
@@ -179,6 +180,12 @@
     return HOP_TIME + _find_one_way(parts, node)
 
 
+def list_nodes(parts: parts_.FrontParts) -> tuple[core.ListedNode, ...]:
+    """Lists the nodes of the system, with this one."""
+    others = core.list_others(parts.catalogue.nodes, parts.own.node_id)
+    return (*others, parts.own)
+
+
 def choose_owner(
     parts: parts_.FrontParts, owners: tuple[core.ListedNode, ...]
 ) -> core.ListedNode | None:
--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -1,5 +1,6 @@
 """Wires the requests of a front node to the replicas."""
 
+from collections import abc
 import time
 
 from citronweir import core
@@ -17,6 +18,9 @@
 SAMPLE = 64
 # Share of a replica's connections that the nodes use between them.
 CONNS_SHARE = 0.9
+# Part of the connections that the owners of a shard leave to other nodes,
+# which ask it where an owner is lost.
+SPARE_FACTOR = 2
 
 
 def make_request_peers(parts: parts_.FrontParts) -> service.RequestPeers:
@@ -68,10 +72,32 @@
 
 
 def conn_limit(parts: parts_.FrontParts, name: core.ServiceName) -> int:
-    """Returns the connections that this node may have to a replica."""
+    """Returns the connections that this node may have to a replica.
+
+    Where there is not one for each node, only the owners of a shard in
+    each region use it steadily, and the others once in a while.
+    """
+    most = _max_conns(parts, name) * CONNS_SHARE
+    users = parts.extra.nodes
+    if most < users:
+        regions = len(set(parts.vantage.regions.values()))
+        users = min(users, SPARE_FACTOR * core.OWNERS * max(1, regions))
+    return max(1, int(most / users))
+
+
+def is_kept_warm(
+    parts: parts_.FrontParts,
+    name: core.ServiceName,
+    owned: abc.Container[core.ServiceName],
+) -> bool:
+    """Returns whether this node keeps connections to a service open."""
+    is_shared = _max_conns(parts, name) * CONNS_SHARE >= parts.extra.nodes
+    return is_shared or name in owned
+
+
+def _max_conns(parts, name):
     index = parts.catalogue.index
-    most = 1 if index is None else index.table.max_conns.get(name, 1)
-    return max(1, int(most * CONNS_SHARE / max(1, parts.extra.nodes)))
+    return 1 if index is None else index.table.max_conns.get(name, 1)
 
 
 def _make_send(parts):
