--- a/citronweir/core/__init__.py
+++ b/citronweir/core/__init__.py
@@ -87,6 +87,7 @@
 from citronweir.core._placement import choose_listed
 from citronweir.core._placement import choose_trial
 from citronweir.core._placement import expected_time
+from citronweir.core._placement import is_avoided
 from citronweir.core._placement import is_due_for_trial
 from citronweir.core._placement import is_late
 from citronweir.core._placement import is_stalled
--- a/citronweir/core/_placement.py
+++ b/citronweir/core/_placement.py
@@ -109,11 +109,16 @@
         expected *= WARMUP_FACTOR
     if is_stalled(load, now):
         expected += now - next(iter(load.out.values()))
-    if now < load.avoid_until or load.failures >= TRIAL_FAILURES:
+    if is_avoided(load, now):
         expected += AVOID_PENALTY
     return expected
 
 
+def is_avoided(load: ReplicaLoad, now: float) -> bool:
+    """Returns whether a replica failed too lately to be preferred."""
+    return now < load.avoid_until or load.failures >= TRIAL_FAILURES
+
+
 def is_stalled(load: ReplicaLoad, now: float) -> bool:
     """Returns whether a request is out for longer than it explains."""
     if not load.out:
--- a/citronweir/listeners/__init__.py
+++ b/citronweir/listeners/__init__.py
@@ -12,3 +12,4 @@
 from citronweir.listeners._http import MAX_HEAD_BYTES
 from citronweir.listeners._http import start_listener
 from citronweir.listeners._http import stop_listener
+from citronweir.listeners._text import start_texts
--- a/citronweir/platform/__init__.py
+++ b/citronweir/platform/__init__.py
@@ -6,6 +6,7 @@
 
 from citronweir.platform._boot import Boot
 from citronweir.platform._boot import BootError
+from citronweir.platform._boot import METRICS_PORT
 from citronweir.platform._boot import read_boot
 from citronweir.platform._catalogue import decode_item
 from citronweir.platform._ingress import close_ingress
--- a/citronweir/platform/_boot.py
+++ b/citronweir/platform/_boot.py
@@ -13,6 +13,9 @@
 from citronweir import core
 from citronweir.platform import _names as names
 
+# The platform's settings name no port for metrics; deploy/system.toml names
+# this one, which is customary for exporters of metrics.
+METRICS_PORT = 9464
 _DEFAULT_PATH = '/etc/citronweir/settings.toml'
 
 
--- a/citronweir/platform/_readiness.py
+++ b/citronweir/platform/_readiness.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from citronweir import core
+from citronweir import listeners
 from citronweir.platform import _names as names
 
 
@@ -24,12 +25,7 @@
         OSError: The address cannot be listened on.
     """
 
-    async def answer(request):
-        if request.path != names.READY_PATH:
-            return web.Response(status=404)
-        return web.Response(status=200 if is_ready() else 503)
+    def answer():
+        return (200 if is_ready() else 503), b''
 
-    runner = web.ServerRunner(web.Server(answer, access_log=None))
-    await runner.setup()
-    await web.TCPSite(runner, address.host, address.port).start()
-    return runner
+    return await listeners.start_texts(address, {names.READY_PATH: answer})
--- a/citronweir/programs/_compose_front.py
+++ b/citronweir/programs/_compose_front.py
@@ -7,6 +7,7 @@
 import time
 
 from citronweir import core
+from citronweir import listeners
 from citronweir import nodes
 from citronweir import platform
 from citronweir import service
@@ -80,6 +81,10 @@
         readiness = await platform.start_readiness(
             boot.readiness, lambda: _is_ready(parts)
         )
+    metrics = await listeners.start_texts(
+        core.Address(boot.host, platform.METRICS_PORT),
+        {'/metrics': lambda: (200, _render_metrics(parts))},
+    )
     peers = requests.make_request_peers(parts)
 
     async def handle(req):
@@ -108,6 +113,7 @@
     await nodes.close_server(node_server, LINKS_END_TIME)
     await nodes.close_links(parts.links)
     upstreams.close_all(parts.lanes)
+    await metrics.cleanup()
     if readiness is not None:
         await readiness.cleanup()
 
@@ -155,6 +161,29 @@
     return parts.catalogue.index is not None and not parts.is_stopping
 
 
+def _render_metrics(parts):
+    catalogue, state = parts.catalogue, parts.config.state
+    index = catalogue.index
+    age = max(0.0, time.monotonic() - parts.config.confirmed_at)
+    return telemetry.render(
+        parts.counters,
+        {
+            'configuration_version': index.table.version if index else 0,
+            'configuration_revision': state.complete_to,
+            'configuration_age_seconds': age,
+            'nodes': parts.extra.nodes,
+            'replicas': len(catalogue.directory.replicas),
+            'replicas_avoided': sum(
+                core.is_avoided(load, time.monotonic())
+                for load in parts.loads.values()
+            ),
+            'connections': upstreams.count_conns(parts.lanes),
+            'connections_opened': parts.lanes.opened_total,
+            'streams': nodes.count_open(parts.links),
+        },
+    )
+
+
 def _caller_limits(parts):
     index = parts.catalogue.index
     return core.CallerLimits() if index is None else index.table.limits
--- a/citronweir/programs/_front_parts.py
+++ b/citronweir/programs/_front_parts.py
@@ -40,6 +40,9 @@
     extra: core.ExtraLoad
     vantage: core.Vantage
     log_limits: telemetry.LogLimits
+    counters: telemetry.Counters = dataclasses.field(
+        default_factory=telemetry.make_counters
+    )
     config: service.Configuration = dataclasses.field(
         default_factory=service.Configuration
     )
--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -119,6 +119,8 @@
         def on_end(outcome):
             now = time.monotonic()
             _learn(parts, replica, load, number, outcome, now)
+            name = type(outcome).__name__.lower()
+            telemetry.count(parts.counters, 'attempts', outcome=name)
             if not isinstance(outcome, core.Replied):
                 _log_failure(parts, req, replica, load, outcome, now - sent_at)
             take(outcome, now - sent_at)
@@ -180,6 +182,7 @@
 def _make_record(parts):
     def record(report):
         event = _choose_event(report)
+        _count(parts, report, event)
         if event is telemetry.Event.REQUEST_SERVED:
             if hash(report.request_id) % SAMPLE:
                 return
@@ -189,6 +192,21 @@
     return record
 
 
+def _count(parts, report, event):
+    counters, route = parts.counters, report.route
+    rank = route.rank.value if route else ''
+    outcome = event.name.removeprefix('REQUEST_').lower()
+    telemetry.count(counters, 'requests', rank=rank, outcome=outcome)
+    telemetry.observe(counters, 'request_seconds', report.seconds, rank=rank)
+    if report.services:
+        missing = report.services - report.parts
+        telemetry.count(counters, 'services_asked', report.services, rank=rank)
+        telemetry.count(counters, 'services_missing', missing, rank=rank)
+        telemetry.count(counters, 'hedges', report.hedges, rank=rank)
+        telemetry.count(counters, 'retries', report.retries, rank=rank)
+        telemetry.count(counters, 'groups', report.groups, rank=rank)
+
+
 def _choose_event(report):
     match report.outcome:
         case core.Declined():
--- a/citronweir/programs/_front_store.py
+++ b/citronweir/programs/_front_store.py
@@ -101,6 +101,9 @@
 def _note_reply(parts, reply):
     """Notes whether the store answers, and logs when that changes."""
     now = time.monotonic()
+    fault = getattr(reply, 'fault', None)
+    outcome = 'ok' if fault is None else fault.value
+    telemetry.count(parts.counters, 'store_calls', outcome=outcome)
     is_answer = (
         not isinstance(reply, platform.StoreRefusal)
         or reply.fault is platform.StoreFault.COMPACTED
--- a/citronweir/service/_fanout.py
+++ b/citronweir/service/_fanout.py
@@ -113,7 +113,7 @@
     if replica_id is None:
         _settle(fanout, piece_run)
         return
-    _send(fanout, piece_run, replica_id, states.TryKind.FIRST)
+    _send(fanout, piece_run, replica_id, core.AttemptKind.FIRST)
 
 
 def _send(fanout, piece_run, replica_id, kind):
@@ -214,7 +214,7 @@
         _settle(fanout, piece_run)
         return
     fanout.retries += 1
-    _send(fanout, piece_run, replica_id, states.TryKind.RETRY)
+    _send(fanout, piece_run, replica_id, core.AttemptKind.RETRY)
 
 
 def _follow_move(fanout, piece_run):
@@ -340,7 +340,7 @@
         if not core.take_hedge(fanout.budgets):
             break
         fanout.hedges += 1
-        _send(fanout, piece_run, replica_id, states.TryKind.HEDGE)
+        _send(fanout, piece_run, replica_id, core.AttemptKind.HEDGE)
     if any(item.sent == 1 for item in alone):
         _arm_hedge(fanout)
 
--- a/citronweir/service/_fanout_replies.py
+++ b/citronweir/service/_fanout_replies.py
@@ -78,7 +78,7 @@
     span: 'telemetry.Span | None',
     replica_id: core.ReplicaId,
     rank: core.Rank,
-    kind: states.TryKind,
+    kind: core.AttemptKind,
     outcome: core.SubOutcome | None,
 ) -> None:
     """Closes the span of a try, None for one that is not recorded."""
--- a/citronweir/service/_fanout_state.py
+++ b/citronweir/service/_fanout_state.py
@@ -2,20 +2,11 @@
 
 import asyncio
 import dataclasses
-import enum
 
 from citronweir import core
 from citronweir.service import _peers as service_peers
 
 
-class TryKind(enum.Enum):
-    """Why a sub-request of a piece is sent."""
-
-    FIRST = 'first'
-    HEDGE = 'hedge'
-    RETRY = 'retry'
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class PieceRun:
     """State of one piece.
--- a/citronweir/telemetry/__init__.py
+++ b/citronweir/telemetry/__init__.py
@@ -11,6 +11,11 @@
 from citronweir.telemetry._bounded import make_log_limits
 from citronweir.telemetry._bounded import may_log
 from citronweir.telemetry._bounded import take_dropped
+from citronweir.telemetry._counters import count
+from citronweir.telemetry._counters import Counters
+from citronweir.telemetry._counters import make_counters
+from citronweir.telemetry._counters import observe
+from citronweir.telemetry._counters import render
 from citronweir.telemetry._events import Event
 from citronweir.telemetry._events import log
 from citronweir.telemetry._events import render_catalogue
--- a/tests/front_test.py
+++ b/tests/front_test.py
@@ -18,13 +18,13 @@
 SETTINGS = '''
 node = "{node}"
 zone = "dc1"
-ip = "127.0.0.1"
+ip = "{host}"
 internal_ports = [{port}, {port}]
 [zones]
 dc1 = "north"
 [listen]
-front = "127.0.0.1:{front}"
-readiness = "127.0.0.1:{ready}"
+front = "{host}:{front}"
+readiness = "{host}:{ready}"
 [bounds]
 grace_s = {grace}
 retry_ratio = 0.2
@@ -82,6 +82,7 @@
         self.servers = {}
         self.nodes = {}
         self.ports = {}
+        self.hosts = {}
 
 
 async def _add_replica(fleet, service, replica_id, records=b''):
@@ -95,10 +96,14 @@
 
 async def _add_node(fleet, name, grace=2.0):
     front, ready, port = (test_utils.unused_port() for _ in range(3))
+    # Each node has an address of its own, as on the platform's machines:
+    # the port for metrics is the same on all of them.
+    host = f'127.0.1.{len(fleet.nodes) + 1}'
     path = fleet.tmp_path / f'{name}.toml'
     path.write_text(
         SETTINGS.format(
             node=name,
+            host=host,
             port=port,
             front=front,
             ready=ready,
@@ -113,11 +118,12 @@
         env=os.environ | {'CITRONWEIR_BOOT': str(path)},
         stdout=open(fleet.tmp_path / f'{name}.log', 'wb'),
     )
-    fleet.ports[name] = (front, ready)
+    fleet.ports[name] = (f'{host}:{front}', f'{host}:{ready}')
+    fleet.hosts[name] = host
 
 
 async def _status(fleet, name):
-    url = f'http://127.0.0.1:{fleet.ports[name][1]}/citronweir/ready'
+    url = f'http://{fleet.ports[name][1]}/citronweir/ready'
     try:
         async with fleet.session.get(url) as resp:
             return resp.status
@@ -132,7 +138,7 @@
 
 
 async def _ask(fleet, name, path='/a/x', request_id='id', **fields):
-    url = f'http://127.0.0.1:{fleet.ports[name][0]}{path}'
+    url = f'http://{fleet.ports[name][0]}{path}'
     headers = {
         'Host': 'a.example',
         'X-Request-Id': request_id,
@@ -361,3 +367,15 @@
     async with _run_fleet(tmp_path) as fleet:
         answer = await _ask(fleet, 'n1', method='POST', data=b'x' * size)
         assert answer[0] == status
+
+
+async def test_metrics_count_requests_by_rank_and_outcome(tmp_path):
+    """Guards on-call against a metrics address without figures."""
+    async with _run_fleet(tmp_path) as fleet:
+        await _ask(fleet, 'n1')
+        url = f'http://{fleet.hosts["n1"]}:9464/metrics'
+        async with fleet.session.get(url) as resp:
+            text = await resp.text()
+    assert 'citronweir_requests_total' in text
+    assert 'citronweir_request_seconds_bucket' in text
+    assert 'citronweir_configuration_version 3.0' in text
