--- a/citronweir/service/_attempts.py
+++ b/citronweir/service/_attempts.py
@@ -14,7 +14,7 @@
 # Share of the replies of a route that a request waits for before it is
 # hedged. Replicas that pause for a moment now and then are late for one
 # request in 25, and slow work for one in 100.
-HEDGE_QUANTILE = 0.92
+HEDGE_QUANTILE = 0.95
 # Before a route has enough replies, a request is late after so many times
 # the expected seconds.
 HEDGE_START_FACTOR = 3.0
