--- a/citronweir/core/_gathering.py
+++ b/citronweir/core/_gathering.py
@@ -12,9 +12,10 @@
 from citronweir.core import _data as data
 
 RECORD_BYTES = 16  # bytes of one record of a part
-# What an answer still needs after this node has sent it: the way to the
-# caller, and the caller's way here before the clock started.
-ANSWER_TIME = 0.006  # seconds
+# What an answer needs beside the time that this node sees: the caller's
+# way here and back, up to 3 ms each, the merge, and the wait for a turn of
+# the loop before the request was read.
+ANSWER_TIME = 0.010  # seconds
 
 
 class Verdict(enum.Enum):
