--- a/citronweir/core/__init__.py
+++ b/citronweir/core/__init__.py
@@ -79,8 +79,9 @@
 from citronweir.core._node_list import expire_nodes
 from citronweir.core._node_list import is_watcher
 from citronweir.core._node_list import keep_listed
+from citronweir.core._node_list import list_near
 from citronweir.core._node_list import list_others
-from citronweir.core._node_list import list_watchers
+from citronweir.core._node_list import list_receivers
 from citronweir.core._node_list import NodeList
 from citronweir.core._node_list import take_node
 from citronweir.core._placement import AVOID_PENALTY
--- a/citronweir/core/_node_list.py
+++ b/citronweir/core/_node_list.py
@@ -21,6 +21,9 @@
 _WATCH_NAME = 'store watch'
 
 
+Regions = abc.Mapping[data.DataCentre, str]
+
+
 @dataclasses.dataclass(slots=True)
 class NodeList:
     """Nodes that are listed, or were a moment ago.
@@ -109,3 +112,45 @@
     """
     ids = {node.node_id for node in nodes.by_key.values()} | {own}
     return routing.rank_nodes(ids, _WATCH_NAME)[:WATCHERS]
+
+
+def list_receivers(
+    nodes: NodeList, own: data.ListedNode, regions: Regions
+) -> list[data.ListedNode]:
+    """Lists the nodes to which a watcher sends what it read.
+
+    A change of the configuration can be tens of kilobytes, and bytes
+    between regions cost most. So one node of each other region gets it
+    and passes it on there. The two watchers use different ones, and a
+    node that hears of neither reads the store itself.
+
+    Args:
+        nodes: Nodes of the system.
+        own: This node.
+        regions: Region of each data centre.
+    """
+    watchers = list_watchers(nodes, own.node_id)
+    if own.node_id not in watchers:
+        return []
+    place = watchers.index(own.node_id)
+    receivers, others = list_near(nodes, own, regions), {}
+    for node in list_others(nodes, own.node_id):
+        region = regions.get(node.dc, '')
+        if region != regions.get(own.dc, ''):
+            others.setdefault(region, {})[node.node_id] = node
+    for region, members in others.items():
+        ranked = routing.rank_nodes(members, f'{_WATCH_NAME}/{region}')
+        receivers.append(members[ranked[place % len(ranked)]])
+    return receivers
+
+
+def list_near(
+    nodes: NodeList, own: data.ListedNode, regions: Regions
+) -> list[data.ListedNode]:
+    """Lists the other nodes of this node's region."""
+    region = regions.get(own.dc, '')
+    return [
+        node
+        for node in list_others(nodes, own.node_id)
+        if regions.get(node.dc, '') == region
+    ]
--- /dev/null
+++ b/citronweir/core/_node_list_test.py
@@ -0,0 +1,83 @@
+"""Tests of who watches the store and who hears of it."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from citronweir import core
+from citronweir.core import _node_list as node_lists
+
+REGIONS = {core.DataCentre(f'd{number}'): f'r{number}' for number in range(3)}
+
+
+def _node(number):
+    return core.ListedNode(
+        core.NodeId(f'n{number}'),
+        core.Address('127.0.0.1', number),
+        core.DataCentre(f'd{number % 3}'),
+        core.Incarnation(1),
+    )
+
+
+def _list(count):
+    nodes = core.NodeList()
+    for number in range(count):
+        core.take_node(nodes, core.ConfigKey(f'k{number}'), _node(number))
+    return nodes
+
+
+@given(st.integers(1, 60))
+def test_two_nodes_watch_and_every_node_hears_of_each(count):
+    """Guards G8: what a watcher reads reaches every node."""
+    nodes = _list(count)
+    everyone = [_node(number) for number in range(count)]
+    watchers = [
+        node
+        for node in everyone
+        if core.is_watcher(nodes, node.node_id, age=0.0)
+    ]
+    assert len(watchers) == min(count, node_lists.WATCHERS)
+    for watcher in watchers:
+        heard = {watcher.node_id}
+        for node in core.list_receivers(nodes, watcher, REGIONS):
+            heard.add(node.node_id)
+            if node.dc != watcher.dc:
+                near = core.list_near(nodes, node, REGIONS)
+                heard.update(item.node_id for item in near)
+        assert heard == {node.node_id for node in everyone}
+
+
+def test_watchers_reach_other_regions_through_different_nodes():
+    """Guards G8 against one lost node that cuts off its region."""
+    nodes = _list(30)
+    relays = []
+    for number in range(30):
+        node = _node(number)
+        receivers = core.list_receivers(nodes, node, REGIONS)
+        relays += [item.node_id for item in receivers if item.dc != node.dc]
+    assert len(relays) == len(set(relays)) >= 3
+
+
+def test_node_without_a_confirmation_watches_itself():
+    """Guards G8 against the loss of both watchers."""
+    nodes = _list(9)
+    late = node_lists.CONFIRM_TIME + 0.1
+    for number in range(9):
+        assert core.is_watcher(nodes, _node(number).node_id, late)
+
+
+def test_node_alone_in_sight_watches():
+    """Guards the start: nobody else announces anything yet."""
+    assert core.is_watcher(core.NodeList(), core.NodeId('n1'), 0.0)
+
+
+def test_record_that_lapsed_may_return():
+    """Guards the number of nodes against a store that drops its leases.
+
+    Each node would take a larger part of the extra load at once.
+    """
+    nodes = _list(4)
+    core.keep_listed(nodes, (), 100.0)
+    assert not core.expire_nodes(nodes, 100.0 + 0.9 * node_lists.RETURN_TIME)
+    core.take_node(nodes, core.ConfigKey('k0'), _node(0))
+    gone = core.expire_nodes(nodes, 100.0 + node_lists.RETURN_TIME)
+    assert [node.node_id for node in gone] == ['n1', 'n2', 'n3']
--- a/citronweir/programs/_front_nodes.py
+++ b/citronweir/programs/_front_nodes.py
@@ -12,6 +12,8 @@
 # A peer without an answer for this time is passed over in a round of
 # anti-entropy.
 SYNC_TIMEOUT = 0.5  # seconds
+# Share of the rounds of anti-entropy that may ask another region.
+FAR_SHARE = 0.125
 # Pings come each second on a quiet stream; a node that was not heard from
 # for longer is not asked.
 HEARD_TIME = 1.6  # seconds
@@ -41,12 +43,14 @@
     async def run_group(query):
         return await service.run_group(request_peers, query)
 
+    def on_config(dc, batch):
+        service.receive_announced(config_peers, parts.config, batch)
+        pass_on(parts, dc, batch)
+
     return nodes.Handlers(
         run_sub=refuse_sub,
         on_gossip=lambda message: None,
-        on_config=lambda dc, batch: service.receive_announced(
-            config_peers, parts.config, batch
-        ),
+        on_config=on_config,
         read_config=lambda since: service.answer_sync(
             config_peers, parts.config, since
         ),
@@ -84,16 +88,18 @@
 
 
 def pick_peer(parts: parts_.FrontParts) -> service.AskPeer | None:
-    """Picks another node at random to ask for newer records."""
-    others = core.list_others(parts.catalogue.nodes, parts.own.node_id)
-    reachable = [
-        node
-        for node in others
-        if nodes.is_open(parts.links, node.address, HEARD_TIME)
-    ]
-    if not (reachable or others):
+    """Picks another node at random to ask for newer records.
+
+    Mostly one of the own region; now and then another one, which brings
+    changes to a region that is cut off from the store.
+    """
+    node_list, regions = parts.catalogue.nodes, parts.vantage.regions
+    others = core.list_others(node_list, parts.own.node_id)
+    near = core.list_near(node_list, parts.own, regions)
+    if not others:
         return None
-    node = parts.rng.choice(reachable or others)
+    is_far = parts.rng.random() < FAR_SHARE
+    node = parts.rng.choice(others if is_far or not near else near)
 
     async def ask(since):
         return await nodes.call_sync(parts.links, node, since, SYNC_TIMEOUT)
@@ -102,15 +108,27 @@
 
 
 def announce(parts: parts_.FrontParts, batch: core.ConfigBatch) -> None:
-    """Sends a batch of the watch to every node, from the watchers for all.
+    """Sends a batch of the watch on, if this node watches for all.
 
     A node that watches because the watchers are silent tells nobody: with
     many of them, each change would be sent by everyone to everyone.
     """
-    node_list, own = parts.catalogue.nodes, parts.own.node_id
-    if own not in core.list_watchers(node_list, own):
+    receivers = core.list_receivers(
+        parts.catalogue.nodes, parts.own, parts.vantage.regions
+    )
+    for node in receivers:
+        nodes.send_config(parts.links, node.address, batch)
+
+
+def pass_on(
+    parts: parts_.FrontParts, sender: core.DataCentre, batch: core.ConfigBatch
+) -> None:
+    """Sends what came from another region to the nodes of this one."""
+    regions = parts.vantage.regions
+    if regions.get(sender, '') == regions.get(parts.own.dc, ''):
         return
-    for node in core.list_others(node_list, own):
+    near = core.list_near(parts.catalogue.nodes, parts.own, regions)
+    for node in near:
         nodes.send_config(parts.links, node.address, batch)
 
 
