--- a/citronweir/service/_attempts.py
+++ b/citronweir/service/_attempts.py
@@ -19,7 +19,8 @@
 # the expected seconds.
 HEDGE_START_FACTOR = 3.0
 HEDGE_MIN_DELAY = 0.008  # seconds
-# A hedge later than this share of the target could not be in time itself.
+# A hedge later than this share of the time until the answer is due could
+# not be in time itself.
 HEDGE_LATEST_SHARE = 0.5
 
 # Refusals of this node alone: nothing arrived at the replica, so that
@@ -249,19 +250,20 @@
 
 
 def hedge_delay(
-    route: core.Route, window: core.LatencyWindow | None, expected: float
+    request: Request, window: core.LatencyWindow | None, expected: float
 ) -> float:
     """Returns the seconds after which an answer is late.
 
     Args:
-        route: Route of the request.
+        request: Request of a caller, or group query of a node, which is
+            due earlier.
         window: Latencies of like answers, or None before the first.
         expected: Seconds that the answer is expected to take.
     """
     delay = None if window is None else window.delay
     if delay is None:
         delay = HEDGE_START_FACTOR * expected
-    latest = HEDGE_LATEST_SHARE * route.target
+    latest = HEDGE_LATEST_SHARE * (request.due - request.started)
     return max(HEDGE_MIN_DELAY, min(delay, latest))
 
 
@@ -314,7 +316,7 @@
     run.out += 1
     key = (route.name, replica.dc)
     if kind is core.AttemptKind.FIRST:
-        delay = hedge_delay(route, peers.windows.get(key), expected)
+        delay = hedge_delay(request, peers.windows.get(key), expected)
         run.hedge_at = peers.now() + delay
 
     def take(outcome, seconds):
--- a/citronweir/service/_groups.py
+++ b/citronweir/service/_groups.py
@@ -82,7 +82,7 @@
     key = (request.route.name, owner.dc)
     window = request.peers.group_windows.get(key)
     expected = request.route.target  # before it is known: half of that
-    delay = attempts.hedge_delay(request.route, window, expected)
+    delay = attempts.hedge_delay(request, window, expected)
 
     def ask():
         if group.query is not None and not request.done.done():
