--- a/citronweir/programs/_front_nodes.py
+++ b/citronweir/programs/_front_nodes.py
@@ -26,7 +26,7 @@
 HOP_TIME = 0.005  # seconds
 # Spread of the estimates, so that owners that look alike share the load.
 OWNER_JITTER = 0.5
-ONE_WAY_SMOOTHING = 0.1  # weight of the newest round trip
+ROUND_TRIP_SMOOTHING = 0.1  # weight of the newest round trip
 
 
 def make_node_handlers(
@@ -186,16 +186,83 @@
         raise
     now = time.monotonic()
     if isinstance(answer.outcome, core.Gathered):
-        _note_one_way(parts, node, now - sent_at - answer.seconds)
+        _note_round_trip(parts, node, now - sent_at - answer.seconds)
         core.note_answer(load, number, now)
     else:
         core.note_failure_of(load, number, now)
     return answer
 
 
-def one_way(parts: parts_.FrontParts, node: core.ListedNode) -> float:
-    """Returns the seconds from an answer of a node to its arrival here."""
-    return HOP_TIME + _find_one_way(parts, node)
+def round_trip(parts: parts_.FrontParts, node: core.ListedNode) -> float:
+    """Returns the seconds that a query and its answer are on their way."""
+    start = core.start_estimate(parts.vantage, node.dc)
+    return HOP_TIME + parts.round_trips.get(node.node_id, start)
+
+
+def list_nodes(parts: parts_.FrontParts) -> tuple[core.ListedNode, ...]:
+    """Lists the nodes of the system, with this one."""
+    others = core.list_others(parts.catalogue.nodes, parts.own.node_id)
+    return (*others, parts.own)
+
+
+def choose_owner(
+    parts: parts_.FrontParts, owners: tuple[core.ListedNode, ...]
+) -> core.ListedNode | None:
+    """Chooses the owner of a group that answers soonest, if any can."""
+    reachable = [node for node in owners if _is_reachable(parts, node)]
+    now = time.monotonic()
+
+    def expected(node):
+        load = _find_load(parts, node)
+        jitter = 1.0 + OWNER_JITTER * parts.rng.random()
+        return core.expected_time(load, 1, now) * jitter
+
+    return min(reachable, key=expected, default=None)
+
+
+def _is_reachable(parts, node):
+    if not nodes.is_open(parts.links, node.address, HEARD_TIME):
+        nodes.keep_open(parts.links, node.address)
+        return False
+    load, now = _find_load(parts, node), time.monotonic()
+    if core.is_stalled(load, now):
+        return False
+    expected = core.expected_time(load, len(load.out) + 1, now)
+    if expected < core.AVOID_PENALTY:
+        return True
+    return core.is_due_for_trial(load, now)
+
+
+async def ask_group(
+    parts: parts_.FrontParts, node: core.ListedNode, query: core.GroupQuery
+) -> core.GroupAnswer:
+    """Has another node ask a group of shards and learns how it does."""
+    load = _find_load(parts, node)
+    parts.sent += 1
+    number, sent_at = parts.sent, time.monotonic()
+    core.note_sent(load, number, sent_at)
+    try:
+        answer = await nodes.call_group(parts.links, node, query)
+    except asyncio.CancelledError:
+        seconds = time.monotonic() - sent_at
+        if core.is_late(load, seconds):
+            core.note_failure_of(load, number, time.monotonic())
+        else:
+            core.note_abandoned(load, number)
+        raise
+    now = time.monotonic()
+    if isinstance(answer.outcome, core.Gathered):
+        _note_round_trip(parts, node, now - sent_at - answer.seconds)
+        core.note_answer(load, number, now)
+    else:
+        core.note_failure_of(load, number, now)
+    return answer
+
+
+def round_trip(parts: parts_.FrontParts, node: core.ListedNode) -> float:
+    """Returns the seconds that a query and its answer are on their way."""
+    start = core.start_estimate(parts.vantage, node.dc)
+    return HOP_TIME + parts.round_trips.get(node.node_id, start)
 
 
 def list_nodes(parts: parts_.FrontParts) -> tuple[core.ListedNode, ...]:
@@ -232,11 +299,12 @@
                 nodes.keep_open(parts.links, node.address)
 
 
-def _note_one_way(parts, node, round_trip):
-    known = _find_one_way(parts, node)
-    seconds = max(0.0, round_trip / 2)
-    known += ONE_WAY_SMOOTHING * (min(seconds, 2 * known) - known)
-    parts.one_way[node.node_id] = known
+def _note_round_trip(parts, node, seconds):
+    known = round_trip(parts, node) - HOP_TIME
+    # Waits at either node are no part of the way.
+    seconds = max(0.0, min(seconds, 2 * known))
+    known += ROUND_TRIP_SMOOTHING * (seconds - known)
+    parts.round_trips[node.node_id] = known
 
 
 def _find_load(parts, node):
--- a/citronweir/programs/_front_parts.py
+++ b/citronweir/programs/_front_parts.py
@@ -22,7 +22,7 @@
         windows: Latencies by route and data centre of the replica.
         group_windows: The same for answers of other nodes.
         node_loads: What this node observed of each other node.
-        one_way: Seconds that a message to each node takes.
+        round_trips: Seconds to each node and back.
         plans: Splits of each route's shards, with their end of use.
         turn: Which of the splits is next.
         sent: Number of the last request to a replica or node.
@@ -61,7 +61,9 @@
     node_loads: dict[core.NodeId, core.ReplicaLoad] = dataclasses.field(
         default_factory=dict
     )
-    one_way: dict[core.NodeId, float] = dataclasses.field(default_factory=dict)
+    round_trips: dict[core.NodeId, float] = dataclasses.field(
+        default_factory=dict
+    )
     plans: dict[
         tuple[core.RouteName, int],
         tuple[core.Route, float, tuple[core.ShardGroup, ...]],
--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -64,7 +64,7 @@
         choose_owner=lambda owners: nodes.choose_owner(parts, owners),
         ask_group=lambda node, query: nodes.ask_group(parts, node, query),
         list_far=list_far,
-        one_way=lambda node: nodes.one_way(parts, node),
+        round_trip=lambda node: nodes.round_trip(parts, node),
         windows=parts.windows,
         group_windows=parts.group_windows,
         record=_make_record(parts),
--- a/citronweir/service/_attempts.py
+++ b/citronweir/service/_attempts.py
@@ -55,7 +55,8 @@
         choose_owner: Chooses a node that can be asked for a group.
         ask_group: Has another node ask a group of shards.
         list_far: Replicas of a service outside of a node's region.
-        one_way: Seconds from an answer of another node to its arrival.
+        round_trip: Seconds that a query to another node and its answer are
+            on their way.
         windows: Latencies of each route, by data centre of the replica.
         group_windows: The same of the answers of other nodes.
         record: Takes what became of each request.
@@ -89,7 +90,7 @@
     list_far: abc.Callable[
         [core.ListedNode, core.ServiceName], frozenset[core.ReplicaId]
     ]
-    one_way: abc.Callable[[core.ListedNode], float]
+    round_trip: abc.Callable[[core.ListedNode], float]
     windows: Windows
     group_windows: Windows
     record: abc.Callable[['RequestReport'], None]
--- a/citronweir/service/_groups.py
+++ b/citronweir/service/_groups.py
@@ -23,7 +23,9 @@
         request.route.name,
         group.places,
         request.req,
-        request.due - peers.one_way(owner),
+        # Times travel as what is left of them, so the way of the query
+        # delays the due time as the way of the answer does.
+        request.due - peers.round_trip(owner),
         request.deadline,
     )
     sent_at = peers.now()
--- a/citronweir/service/_requests_test.py
+++ b/citronweir/service/_requests_test.py
@@ -141,7 +141,7 @@
         choose_owner=lambda owners: owners[0],
         ask_group=ask_group,
         list_far=lambda node, name: frozenset({f'{name}-0'}),
-        one_way=lambda node: 0.008,
+        round_trip=lambda node: 0.016,
         windows={},
         group_windows={},
         record=world.reports.append,
@@ -317,6 +317,17 @@
     assert [name for _, name in world.sends] == ['s0-0', 's1-0']
 
 
+def test_answer_of_a_node_is_due_before_the_target():
+    """Guards the target against the way of a query and of its answer.
+
+    The time that is left is what travels, so both ways come off it.
+    """
+    world = World(groups=GROUPS, answer=(0.02, _merged('s2', 's3')))
+    _run(world)
+    (query,) = world.queries
+    assert query.due == pytest.approx(GATHER.target - core.ANSWER_TIME - 0.016)
+
+
 def test_silent_node_is_hedged_from_here():
     """Guards against a node that freezes with other nodes' queries."""
     world = World(groups=GROUPS, answer=(9.0, _merged('s2', 's3')))
