--- a/citronweir/core/__init__.py
+++ b/citronweir/core/__init__.py
@@ -76,6 +76,8 @@
 from citronweir.core._membership import run_tick
 from citronweir.core._membership import set_seeds
 from citronweir.core._membership import take_gossip
+from citronweir.core._node_list import ASSUMED_PER_DC
+from citronweir.core._node_list import count_nodes
 from citronweir.core._node_list import expire_nodes
 from citronweir.core._node_list import is_watcher
 from citronweir.core._node_list import keep_listed
--- a/citronweir/core/_node_list.py
+++ b/citronweir/core/_node_list.py
@@ -21,6 +21,15 @@
 _WATCH_NAME = 'store watch'
 
 
+# For this time a node counts in the number of nodes after its record has
+# gone: the store may take records away from nodes that still serve.
+COUNT_TIME = 60.0  # seconds
+# Nodes in each data centre that a starting node assumes until it has seen
+# the list of the others for a while.
+ASSUMED_PER_DC = 2
+START_TIME = 10.0  # seconds
+
+
 Regions = abc.Mapping[data.DataCentre, str]
 
 
@@ -33,6 +42,8 @@
         gone_at: Monotonic second at which a record that disappeared
             counts as gone.
         version: Grows with each change.
+        peak: Largest number of nodes lately.
+        peak_at: Monotonic second at which it was seen last.
     """
 
     by_key: dict[data.ConfigKey, data.ListedNode] = dataclasses.field(
@@ -42,6 +53,8 @@
         default_factory=dict
     )
     version: int = 0
+    peak: int = 0
+    peak_at: float = 0.0
 
 
 def take_node(
@@ -84,6 +97,29 @@
     return gone
 
 
+def count_nodes(
+    nodes: NodeList, own: data.NodeId, dcs: int, age: float, now: float
+) -> int:
+    """Counts the nodes that share what is bounded over all of them.
+
+    Too small a number would let each node take too much: connections
+    that a replica then resets, and extra load beyond the bound.
+
+    Args:
+        nodes: Nodes of the system.
+        own: This node.
+        dcs: Data centres of the system.
+        age: Seconds since this node started.
+        now: Monotonic clock, seconds.
+    """
+    count = 1 + len(list_others(nodes, own))
+    if age < START_TIME:
+        count = max(count, ASSUMED_PER_DC * dcs)
+    if count >= nodes.peak or now - nodes.peak_at > COUNT_TIME:
+        nodes.peak, nodes.peak_at = count, now
+    return nodes.peak
+
+
 def list_others(
     nodes: NodeList, own: data.NodeId
 ) -> tuple[data.ListedNode, ...]:
--- a/citronweir/core/_node_list_test.py
+++ b/citronweir/core/_node_list_test.py
@@ -81,3 +81,21 @@
     core.take_node(nodes, core.ConfigKey('k0'), _node(0))
     gone = core.expire_nodes(nodes, 100.0 + node_lists.RETURN_TIME)
     assert [node.node_id for node in gone] == ['n1', 'n2', 'n3']
+
+
+def test_number_of_nodes_does_not_fall_with_their_records():
+    """Guards replicas: too few nodes would open too many connections."""
+    nodes = _list(8)
+    own = core.NodeId('n0')
+    assert core.count_nodes(nodes, own, 3, 60.0, 100.0) == 8
+    core.keep_listed(nodes, (), 100.0)
+    core.expire_nodes(nodes, 110.0)
+    assert core.count_nodes(nodes, own, 3, 70.0, 110.0) == 8
+    late = 100.0 + node_lists.COUNT_TIME + 0.1
+    assert core.count_nodes(nodes, own, 3, 170.0, late) == 1
+
+
+def test_starting_node_assumes_others():
+    """Guards replicas against many nodes that each think they are alone."""
+    count = core.count_nodes(core.NodeList(), core.NodeId('n0'), 3, 0.5, 0.5)
+    assert count == 3 * node_lists.ASSUMED_PER_DC
--- a/citronweir/programs/_compose_front.py
+++ b/citronweir/programs/_compose_front.py
@@ -22,7 +22,7 @@
 # Parts of the time between SIGTERM and SIGKILL. The balancer needs up to
 # two seconds to notice, and what is admitted until then still finishes.
 STOP_SERVE_SHARE = 0.6
-STOP_END_SHARE = 0.9
+STOP_END_SHARE = 0.8
 SYNC_INTERVAL = 1.0  # seconds
 # Seconds to wait for answers to other nodes when the streams close.
 LINKS_END_TIME = 0.2
@@ -68,7 +68,12 @@
         session=session,
         links=nodes.open_links(identity, rng),
         lanes=upstreams.Lanes(time.monotonic),
-        extra=core.ExtraLoad(boot.extra_ratio, boot.extra_slack, 1),
+        extra=core.ExtraLoad(
+            boot.extra_ratio,
+            boot.extra_slack,
+            core.ASSUMED_PER_DC * max(1, len(boot.regions)),
+        ),
+        started=time.monotonic(),
         vantage=core.Vantage(boot.dc, boot.regions),
         log_limits=telemetry.make_log_limits(),
     )
@@ -195,8 +200,13 @@
     directory, lanes = parts.catalogue.directory, parts.lanes
     core.expire_entries(directory, now)
     core.expire_nodes(parts.catalogue.nodes, now)
-    others = core.list_others(parts.catalogue.nodes, parts.own.node_id)
-    parts.extra.nodes = 1 + len(others)
+    parts.extra.nodes = core.count_nodes(
+        parts.catalogue.nodes,
+        parts.own.node_id,
+        len(parts.boot.regions),
+        now - parts.started,
+        now,
+    )
     wiring.keep_streams(parts)
     upstreams.keep_only(lanes, directory.replicas)
     for replica_id in parts.loads.keys() - directory.replicas.keys():
--- a/citronweir/programs/_front_parts.py
+++ b/citronweir/programs/_front_parts.py
@@ -26,6 +26,7 @@
         plans: Splits of each route's shards, with their end of use.
         turn: Which of the splits is next.
         sent: Number of the last request to a replica or node.
+        started: Monotonic second of the start.
         lost_at: Monotonic second since which the store is silent.
         is_stopping: Whether SIGTERM has come.
     """
@@ -40,6 +41,7 @@
     extra: core.ExtraLoad
     vantage: core.Vantage
     log_limits: telemetry.LogLimits
+    started: float
     counters: telemetry.Counters = dataclasses.field(
         default_factory=telemetry.make_counters
     )
--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -103,7 +103,7 @@
 def _make_send(parts):
     encoders = {}
 
-    def send(req, replica, rank, deadline, take):
+    def send(req, replica, route, deadline, take):
         # All attempts of a request follow one another closely, so only
         # the encoder of the last request is worth keeping.
         if encoders.get('id') is not req:
@@ -126,12 +126,13 @@
             take(outcome, now - sent_at)
 
         exchange = upstreams.Exchange(
-            rank,
+            route.rank,
             deadline,
             lambda left: encode(replica.replica_id, left),
             platform.decode_reply,
             encoders['own'],
             on_end,
+            route.repeat is core.Repeat.NON_IDEMPOTENT,
         )
         upstreams.submit(
             parts.lanes, replica, conn_limit(parts, replica.service), exchange
--- a/citronweir/service/_attempts.py
+++ b/citronweir/service/_attempts.py
@@ -326,9 +326,7 @@
         if request.is_open:
             _take_outcome(request, group, run, outcome)
 
-    handle = peers.send(
-        request.req, replica, route.rank, request.deadline, take
-    )
+    handle = peers.send(request.req, replica, route, request.deadline, take)
     request.handles.append(handle)
 
 
--- a/citronweir/service/_requests_test.py
+++ b/citronweir/service/_requests_test.py
@@ -104,7 +104,7 @@
                 return replica, 0.01
         return None
 
-    def send(req, replica, rank, deadline, take):
+    def send(req, replica, route, deadline, take):
         steps = world.script.get(replica.service, [(0.01, _reply())])
         number = counts[replica.service]
         counts[replica.service] += 1
--- a/citronweir/upstreams/_lanes.py
+++ b/citronweir/upstreams/_lanes.py
@@ -22,6 +22,10 @@
 KEEP_ALIVE_MARGIN = 0.5  # seconds
 # Keep-alive time of a replica that states none.
 KEEP_ALIVE_DEFAULT = 30.0  # seconds
+# A replica over its limit resets a connection right after it was opened.
+# A request that must not run twice is sent on a new connection only after
+# this time: once its bytes are out, it may have run.
+SETTLE_TIME = 0.01  # seconds
 QUEUE_LIMIT = 64  # waiting requests of each rank
 # After the caller has left, a request may run on for this time.
 LEAVE_TIME = 0.25  # seconds
@@ -41,6 +45,7 @@
         decode: Turns a whole reply into an outcome.
         is_own: Tells from a reply's fields whether it is to this request.
         on_end: Takes the outcome, once.
+        is_once: Whether the request must not run twice.
         deadline: Monotonic second after which the reply is of no use.
         conn: Connection that carries it, or None while it waits.
     """
@@ -51,6 +56,7 @@
     decode: abc.Callable[[exchanges.RawReply], core.AttemptOutcome]
     is_own: exchanges.IsOwn
     on_end: abc.Callable[[core.AttemptOutcome], None]
+    is_once: bool = False
     conn: exchanges.Connection | None = None
     entry: core.Entry | None = None
     timer: asyncio.TimerHandle | None = None
@@ -259,11 +265,37 @@
             lane.opened -= 1
     if is_open:
         conn.idle_since = lanes.now()
-        _use_free(lanes, lane, conn)
+        _use_new(lanes, lane, conn)
     else:
         _refuse_next(lanes, lane)
 
 
+def _use_new(lanes, lane, conn):
+    entry, expired = core.take(lane.queue, lanes.now(), core.select_shares)
+    _end_expired(expired)
+    if entry is None:
+        lane.idle.append(conn)
+    elif entry.item.is_once:
+        asyncio.get_running_loop().call_later(
+            SETTLE_TIME, _send_settled, lanes, lane, conn, entry.item
+        )
+    else:
+        _send(lanes, lane, conn, entry.item)
+
+
+def _send_settled(lanes, lane, conn, exchange):
+    if conn.is_closed:
+        lane.opened -= 1
+        if not exchange.is_over:
+            refused = core.NotRun(core.NotRunReason.UNREACHABLE)
+            _finish(exchange, refused)
+        _open_if_allowed(lanes, lane)
+    elif exchange.is_over:
+        _use_free(lanes, lane, conn)
+    else:
+        _send(lanes, lane, conn, exchange)
+
+
 def _refuse_next(lanes, lane):
     """Ends the waiting request that the failed connection was meant for."""
     if lane.opened > lane.opening:
--- a/citronweir/upstreams/_lanes_test.py
+++ b/citronweir/upstreams/_lanes_test.py
@@ -42,7 +42,7 @@
         )
 
 
-def _submit(client, req, seconds=1.0, rank=core.Rank.URGENT):
+def _submit(client, req, seconds=1.0, rank=core.Rank.URGENT, is_once=False):
     future = asyncio.get_running_loop().create_future()
     encode = platform.make_encoder(req)
     exchange = upstreams.Exchange(
@@ -52,6 +52,7 @@
         platform.decode_reply,
         platform.make_is_own(req.request_id),
         future.set_result,
+        is_once,
     )
     upstreams.submit(client.lanes, client.replica, client.limit, exchange)
     return future, exchange
@@ -186,3 +187,17 @@
     async with _run(replica) as client:
         await _submit(client, _request(body=b'x' * 100_000))[0]
     assert replica.seen[0][2] == b'x' * 100_000
+
+
+async def test_order_is_not_lost_on_a_connection_over_the_limit():
+    """Guards G5 and callers: what was never sent is certain not to have run.
+
+    The replica resets a connection beyond its limit right after it was
+    opened.
+    """
+    replica = replicas.Replica('i-1', RECORDS, max_conns=0)
+    async with _run(replica) as client:
+        outcome = await _submit(client, _request(), is_once=True)[0]
+    assert outcome == core.NotRun(core.NotRunReason.UNREACHABLE)
+    assert replica.seen == []
+    assert upstreams.count_conns(client.lanes) == 0
--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -33,6 +33,7 @@
     Attributes:
         records: Body of its part.
         delay: Seconds that a request takes.
+        max_conns: Connections that it accepts; it resets further ones.
         faults: Fault of each coming request; after them there is none.
         seen: Heads and bodies of the requests that came.
         cancelled: Requests whose connection closed while they ran.
@@ -47,6 +48,8 @@
     )
     cancelled: int = 0
     conns: int = 0
+    max_conns: int = 1000
+    open_conns: int = 0
 
 
 async def start(replica: Replica, port: int = 0) -> asyncio.Server:
@@ -58,12 +61,17 @@
 
 async def _serve(replica, reader, writer):
     replica.conns += 1
+    if replica.open_conns >= replica.max_conns:
+        writer.transport.abort()
+        return
+    replica.open_conns += 1
     try:
         while await _serve_one(replica, reader, writer):
             pass
     except (ConnectionError, asyncio.IncompleteReadError):
         pass
     finally:
+        replica.open_conns -= 1
         writer.close()
 
 
