--- a/citronweir/programs/_compose_front.py
+++ b/citronweir/programs/_compose_front.py
@@ -159,6 +159,8 @@
     telemetry.log(
         telemetry.Event.NODE_READY, node=parts.boot.node_id, dc=parts.boot.dc
     )
+    # Connections are opened before the first requests need them.
+    await _upkeep(parts)
     await service.run_watch(peers, parts.config)
 
 
--- a/citronweir/upstreams/_lanes.py
+++ b/citronweir/upstreams/_lanes.py
@@ -142,7 +142,7 @@
     lane = lanes.by_replica.get(lane_of)
     exchange.on_end = _ignore
     if exchange.conn is None:
-        if exchange.entry is not None and lane is not None:
+        if lane is not None:
             core.cancel(lane.queue, exchange.entry)
         _finish(exchange, core.NotRun(core.NotRunReason.CANCELLED))
         return
@@ -163,8 +163,7 @@
     lane = lanes.by_replica.get(lane_of)
     if exchange.is_over or exchange.conn is not None or lane is None:
         return False
-    if exchange.entry is not None:
-        core.cancel(lane.queue, exchange.entry)
+    core.cancel(lane.queue, exchange.entry)
     _finish(exchange, core.NotRun(core.NotRunReason.CANCELLED))
     return True
 
@@ -373,10 +372,8 @@
     if exchange.is_over:
         return
     if exchange.conn is None:
-        if exchange.entry is not None:
-            core.cancel(lane.queue, exchange.entry)
-        late = core.NotRun(core.NotRunReason.DEADLINE_PASSED)
-        _finish(exchange, late)
+        core.cancel(lane.queue, exchange.entry)
+        _finish(exchange, core.NotRun(core.NotRunReason.DEADLINE_PASSED))
         return
     lane.busy.discard(exchange.conn)
     _discard(lane, exchange.conn)
