--- /dev/null
+++ b/bench/front_slopes.py
@@ -0,0 +1,128 @@
+"""Measures how the work of a front node grows with shards and nodes.
+
+Prints the table of docs/CAPACITY.md, section "Front node": microseconds
+of processor time of one call at several sizes.
+"""
+
+from collections import abc
+import statistics
+import time
+
+from citronweir import core
+
+ROUNDS = 5
+SECONDS = 0.05  # of processor time for each round
+REGIONS = {
+    core.DataCentre(f'd{number}'): f'r{number % 4}' for number in range(12)
+}
+VANTAGE = core.Vantage(core.DataCentre('d0'), REGIONS)
+
+
+def _measure(call):
+    values = []
+    for _ in range(ROUNDS):
+        count, started = 0, time.process_time()
+        while time.process_time() - started < SECONDS:
+            call()
+            count += 1
+        values.append((time.process_time() - started) / count)
+    return statistics.median(values) * 1e6
+
+
+def _route(count):
+    return core.Route(
+        core.RouteName('r'),
+        'a.example',
+        '/',
+        core.Repeat.IDEMPOTENT,
+        core.Rank.URGENT,
+        0.1,
+        0.4,
+        2,
+        shards=tuple(core.ServiceName(f's{n}') for n in range(count)),
+        top_k=50,
+    )
+
+
+def _replica(name, dc):
+    return core.ListedReplica(
+        core.ReplicaId(f'{name}-{dc}'),
+        name,
+        core.Address('127.0.0.1', 1),
+        dc,
+        core.ListedState.READY,
+        slots=2,
+    )
+
+
+def _nodes(count):
+    dcs = list(REGIONS)
+    return tuple(
+        core.ListedNode(
+            core.NodeId(f'n{number}'),
+            core.Address('127.0.0.1', 1),
+            dcs[number % len(dcs)],
+            core.Incarnation(1),
+        )
+        for number in range(count)
+    )
+
+
+def _make_choice(count):
+    loads = {}
+    replicas = tuple(
+        _replica(core.ServiceName('s'), dc) for dc in list(REGIONS)[:count]
+    )
+    return lambda: core.choose_listed(
+        loads, VANTAGE, replicas, (), 1.0, lambda: 1.0
+    )
+
+
+def _make_merge(count):
+    route = _route(count)
+    replies = [
+        core.Reply(200, (), bytes([number % 256]) * 1000, f'sig{number}')
+        for number in range(count)
+    ]
+    return lambda: core.merge_parts(route, replies)
+
+
+def _make_plan(count):
+    route, nodes = _route(490), _nodes(count)
+    replicas = {
+        name: tuple(_replica(name, dc) for dc in list(REGIONS)[:3])
+        for name in route.shards
+    }
+    return lambda: core.plan_groups(
+        route, replicas.__getitem__, nodes, nodes[0].node_id, VANTAGE
+    )
+
+
+def _make_receivers(count):
+    nodes = core.NodeList()
+    listed = _nodes(count)
+    for node in listed:
+        core.take_node(nodes, core.ConfigKey(node.node_id), node)
+    return lambda: core.list_receivers(nodes, listed[0], REGIONS)
+
+
+Make = abc.Callable[[int], abc.Callable[[], object]]
+ROWS: tuple[tuple[str, Make, tuple[int, ...]], ...] = (
+    ('choice of a replica, by replicas', _make_choice, (2, 3, 6)),
+    ('merge of parts of 1,000 B, by parts', _make_merge, (20, 90, 490)),
+    ('split of 490 shards, by nodes', _make_plan, (89, 583, 7000)),
+    ('receivers of a change, by nodes', _make_receivers, (89, 583, 7000)),
+)
+
+
+def main() -> None:
+    """Prints the table."""
+    print('| operation | us |')
+    print('| --- | --- |')
+    for name, make, sizes in ROWS:
+        cells = (f'{size:,}: {_measure(make(size)):,.0f}' for size in sizes)
+        print(f'| {name} | {"; ".join(cells)} |')
+
+
+if __name__ == '__main__':
+    main()
--- a/citronweir/programs/_front_store.py
+++ b/citronweir/programs/_front_store.py
@@ -14,9 +14,13 @@
 # silent must not hide a change for longer than the 3 s within which a
 # change is in force.
 WATCH_TIME = 1.0  # seconds
-# Time between calls while the store refuses or does not answer.
-RETRY_MIN = 0.15  # seconds
-RETRY_MAX = 0.45  # seconds
+# Time between calls while the store refuses or does not answer; refused
+# calls are priced too. The limit leaves room to read a change within 3 s
+# of the store's return.
+RETRY_FIRST = 0.2  # seconds
+RETRY_LIMIT = 1.0  # seconds
+RETRY_SPREAD = 0.25  # share of the time
+MAX_DOUBLINGS = 8
 
 
 def make_config_peers(parts: parts_.FrontParts) -> service.ConfigPeers:
@@ -66,12 +70,14 @@
 
 async def _watch(parts, position):
     """Yields the changes after a revision until the history is dropped."""
+    failures = 0
     while True:
         reply = await platform.wait_changes(
             parts.session, parts.boot.store, position, WATCH_TIME
         )
         _note_reply(parts, reply)
         if isinstance(reply, platform.Changes):
+            failures = 0
             # Every key is watched, so a revision that moved without a
             # change means that the store has left some out.
             if not reply.items and reply.revision > position:
@@ -83,7 +89,10 @@
             yield core.StoreError(reply.detail)
             return
         else:
-            await asyncio.sleep(parts.rng.uniform(RETRY_MIN, RETRY_MAX))
+            wait = min(RETRY_LIMIT, RETRY_FIRST * 2.0**failures)
+            failures = min(failures + 1, MAX_DOUBLINGS)
+            spread = parts.rng.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
+            await asyncio.sleep(wait * spread)
 
 
 def _make_batch(reply):
