--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -16,6 +16,10 @@
 JITTER = 0.15
 # One uneventful request in so many is logged.
 SAMPLE = 64
+_UNEVENTFUL = (
+    telemetry.Event.REQUEST_SERVED,
+    telemetry.Event.GROUP_ANSWERED,
+)
 # Share of a replica's connections that the nodes use between them.
 CONNS_SHARE = 0.9
 # Part of the connections that the owners of a shard leave to other nodes,
@@ -184,7 +188,7 @@
     def record(report):
         event = _choose_event(report)
         _count(parts, report, event)
-        if event is telemetry.Event.REQUEST_SERVED:
+        if event in _UNEVENTFUL:
             if hash(report.request_id) % SAMPLE:
                 return
         if telemetry.may_log(parts.log_limits, event, time.monotonic()):
@@ -196,9 +200,10 @@
 def _count(parts, report, event):
     counters, route = parts.counters, report.route
     rank = route.rank.value if route else ''
-    outcome = event.name.removeprefix('REQUEST_').lower()
-    telemetry.count(counters, 'requests', rank=rank, outcome=outcome)
-    telemetry.observe(counters, 'request_seconds', report.seconds, rank=rank)
+    kind = 'group' if report.is_group else 'request'
+    outcome = event.name.partition('_')[2].lower()
+    telemetry.count(counters, f'{kind}s', rank=rank, outcome=outcome)
+    telemetry.observe(counters, f'{kind}_seconds', report.seconds, rank=rank)
     if report.services:
         missing = report.services - report.parts
         telemetry.count(counters, 'services_asked', report.services, rank=rank)
@@ -209,6 +214,10 @@
 
 
 def _choose_event(report):
+    if report.is_group:
+        if report.parts < report.services:
+            return telemetry.Event.GROUP_PARTIAL
+        return telemetry.Event.GROUP_ANSWERED
     match report.outcome:
         case core.Declined():
             return telemetry.Event.REQUEST_DECLINED
--- a/citronweir/service/_attempts.py
+++ b/citronweir/service/_attempts.py
@@ -107,6 +107,7 @@
         hedges: Requests to a second replica while the first was out.
         retries: Requests that followed another outcome.
         groups: Groups of shards that other nodes were asked for.
+        is_group: Whether another node had the request.
     """
 
     request_id: core.RequestId
@@ -118,6 +119,7 @@
     hedges: int = 0
     retries: int = 0
     groups: int = 0
+    is_group: bool = False
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/citronweir/service/_requests.py
+++ b/citronweir/service/_requests.py
@@ -98,6 +98,7 @@
         _judge,
     )
     outcome = await _run(request)
+    _report(peers, query.req, route, outcome, started, request, is_group=True)
     absent = tuple(
         place
         for place, run in enumerate(request.groups[0].runs)
@@ -296,9 +297,11 @@
     return core.Unanswered(core.FailureReason.UPSTREAM_ERROR)
 
 
-def _report(peers, req, route, outcome, started, request=None):
+def _report(peers, req, route, outcome, started, request=None, is_group=False):
     seconds = peers.now() - started
-    report = attempts.RequestReport(req.request_id, route, outcome, seconds)
+    report = attempts.RequestReport(
+        req.request_id, route, outcome, seconds, is_group=is_group
+    )
     if request is not None:
         report = dataclasses.replace(
             report,
--- a/citronweir/telemetry/_events.py
+++ b/citronweir/telemetry/_events.py
@@ -85,6 +85,19 @@
         'request {request} matches no route of version {version}',
         'Compare the path with the configuration in force.',
     )
+    GROUP_PARTIAL = EventSpec(
+        1108,
+        'INFO',
+        'group query {request} of route {route} answered after {ms} ms with '
+        '{parts} of {services} services, {hedges} hedges, {retries} retries',
+        'See docs/OPERATIONS.md, "Late or partial".',
+    )
+    GROUP_ANSWERED = EventSpec(
+        1109,
+        'INFO',
+        'group query {request} of route {route} answered after {ms} ms with '
+        '{parts} of {services} services, {hedges} hedges, {retries} retries',
+    )
     LINES_DROPPED = EventSpec(
         1106, 'INFO', '{count} lines of event CW{number} were left out'
     )
