--- a/citronweir/core/__init__.py
+++ b/citronweir/core/__init__.py
@@ -47,6 +47,7 @@
 from citronweir.core._directory import note_restored
 from citronweir.core._directory import remove_entry
 from citronweir.core._directory import take_entry
+from citronweir.core._extra_load import bucket_size
 from citronweir.core._extra_load import ExtraLoad
 from citronweir.core._extra_load import note_request
 from citronweir.core._extra_load import take_extra
@@ -56,6 +57,7 @@
 from citronweir.core._gathering import min_parts
 from citronweir.core._gathering import Verdict
 from citronweir.core._gossip import get_own_member
+from citronweir.core._grouping import is_grouped
 from citronweir.core._grouping import list_owned
 from citronweir.core._grouping import OWNERS
 from citronweir.core._grouping import plan_groups
--- a/citronweir/core/_extra_load.py
+++ b/citronweir/core/_extra_load.py
@@ -18,6 +18,9 @@
 # Part of a full bucket that a starting node has: its predecessor may have
 # spent a full one in the same window, on every node after a mass restart.
 START_SHARE = 0.2
+# Part of the slack of a grouped service that its owners share; the rest is
+# for the other nodes, which ask it only where an owner is lost.
+OWNERS_SHARE = 0.75
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,12 +31,18 @@
         ratio: Extra arrivals for each request.
         slack: Extra arrivals of all nodes in a window beyond the ratio.
         nodes: Nodes that share the slack.
+        owners: Nodes that ask each grouped service for all others.
+        grouped: Services that owners ask.
+        owned: Those of them that this node owns.
         tokens: What each service's bucket holds.
     """
 
     ratio: float
     slack: float
     nodes: int
+    owners: int = 1
+    grouped: frozenset[data.ServiceName] = frozenset()
+    owned: frozenset[data.ServiceName] = frozenset()
     tokens: dict[data.ServiceName, float] = dataclasses.field(
         default_factory=dict
     )
@@ -41,23 +50,31 @@
 
 def note_request(extra: ExtraLoad, service: data.ServiceName) -> None:
     """Earns the share of one request of a caller."""
-    limit = bucket_size(extra)
+    limit = bucket_size(extra, service)
     tokens = extra.tokens.get(service, limit * START_SHARE)
     tokens += extra.ratio * USED_SHARE
-    # A bucket holds at least the token that it is about to hand out.
-    extra.tokens[service] = min(max(limit, 1.0), tokens)
+    extra.tokens[service] = min(limit, tokens)
 
 
-def bucket_size(extra: ExtraLoad) -> float:
-    """Returns this node's part of the slack, in arrivals."""
-    return extra.slack * USED_SHARE / max(1, extra.nodes)
+def bucket_size(extra: ExtraLoad, service: data.ServiceName) -> float:
+    """Returns this node's part of a service's slack, in arrivals.
+
+    With equal parts for all nodes the owners of a shard, which send nearly
+    all of its requests, could hardly hedge in a large fleet.
+    """
+    slack = extra.slack * USED_SHARE
+    if service not in extra.grouped or extra.owners >= extra.nodes:
+        return slack / max(1, extra.nodes)
+    if service in extra.owned:
+        return slack * OWNERS_SHARE / max(1, extra.owners)
+    return slack * (1.0 - OWNERS_SHARE) / max(1, extra.nodes)
 
 
 def take_extra(
     extra: ExtraLoad, service: data.ServiceName, kind: data.AttemptKind
 ) -> bool:
     """Takes the token of a hedge or retry; returns whether there was one."""
-    limit = bucket_size(extra)
+    limit = bucket_size(extra, service)
     tokens = extra.tokens.get(service, limit * START_SHARE)
     reserve = 0.0
     if kind is data.AttemptKind.HEDGE:
--- a/citronweir/core/_grouping.py
+++ b/citronweir/core/_grouping.py
@@ -64,7 +64,7 @@
         ]
         for number, chunk in _chunk(route, places):
             if len(chunk) < MIN_REMOTE or (
-                region == own and len(route.shards) <= MAX_SHARDS
+                region == own and not is_grouped(route)
             ):
                 local += chunk
                 continue
@@ -97,6 +97,11 @@
     return routing.rank_nodes(node_ids, name)[:OWNERS]
 
 
+def is_grouped(route: data.Route) -> bool:
+    """Returns whether owners ask the shards of a route for all nodes."""
+    return len(route.shards) > MAX_SHARDS
+
+
 def list_owned(
     route: data.Route,
     nodes: abc.Iterable[data.ListedNode],
--- a/citronweir/programs/_compose_front.py
+++ b/citronweir/programs/_compose_front.py
@@ -221,23 +221,36 @@
         )
     if parts.catalogue.index is None or parts.is_stopping:
         return
+    _note_owned(parts)
     _warm(parts)
 
 
-def _warm(parts):
-    """Keeps a connection open to each replica that this node uses."""
-    directory, table = parts.catalogue.directory, parts.catalogue.index.table
-    owned = {
+def _note_owned(parts):
+    """Notes which shards owners ask, and which of them this node owns."""
+    extra, regions = parts.extra, set(parts.vantage.regions.values())
+    routes = parts.catalogue.index.table.routes
+    listed = wiring.list_nodes(parts)
+    extra.owners = core.OWNERS * max(1, len(regions))
+    extra.grouped = frozenset(
+        name
+        for route in routes
+        if core.is_grouped(route)
+        for name in route.shards
+    )
+    extra.owned = frozenset(
         route.shards[place]
-        for route in table.routes
-        if route.shards
+        for route in routes
+        if core.is_grouped(route)
         for place in core.list_owned(
-            route,
-            wiring.list_nodes(parts),
-            parts.own.node_id,
-            parts.vantage,
+            route, listed, parts.own.node_id, parts.vantage
         )
-    }
+    )
+
+
+def _warm(parts):
+    """Keeps a connection open to each replica that this node uses."""
+    directory, table = parts.catalogue.directory, parts.catalogue.index.table
+    owned = parts.extra.owned
     for name in core.list_services(table):
         if not requests.is_kept_warm(parts, name, owned):
             continue
