--- a/citronweir/programs/_front_store.py
+++ b/citronweir/programs/_front_store.py
@@ -1,6 +1,7 @@
 """Wires the configuration of a front node to the platform's store."""
 
 import asyncio
+import dataclasses
 import time
 
 from citronweir import core
@@ -72,6 +73,7 @@
     """Yields the changes after a revision until the history is dropped."""
     failures = 0
     while True:
+        sent_at = time.monotonic()
         reply = await platform.wait_changes(
             parts.session, parts.boot.store, position, WATCH_TIME
         )
@@ -84,7 +86,8 @@
                 yield core.StoreError('changes were left out')
                 return
             position = max(position, reply.revision)
-            yield _make_batch(reply)
+            age = _find_age(reply, time.monotonic() - sent_at)
+            yield dataclasses.replace(_make_batch(reply), age=age)
         elif reply.fault is platform.StoreFault.COMPACTED:
             yield core.StoreError(reply.detail)
             return
@@ -95,6 +98,16 @@
             await asyncio.sleep(wait * spread)
 
 
+def _find_age(reply, elapsed):
+    """Bounds the seconds since the store made a reply.
+
+    A reply without changes was made when the wait was over, one with
+    changes at any time of the call. A network that holds it up must not
+    make it look new: it confirms the configuration of all nodes.
+    """
+    return elapsed if reply.items else max(0.0, elapsed - WATCH_TIME)
+
+
 def _make_batch(reply):
     return core.ConfigBatch(
         tuple(
--- /dev/null
+++ b/citronweir/programs/_front_store_test.py
@@ -0,0 +1,54 @@
+"""Tests of the watch of a front node on the platform's store."""
+
+import random
+import types
+
+import pytest
+
+from citronweir import core
+from citronweir import platform
+from citronweir import telemetry
+from citronweir.programs import _front_store as front_store
+
+
+def _make_parts():
+    return types.SimpleNamespace(
+        session=None,
+        boot=types.SimpleNamespace(store=None),
+        counters=telemetry.make_counters(),
+        lost_at=None,
+        rng=random.Random(1),
+    )
+
+
+@pytest.mark.parametrize(
+    'items, seconds, age',
+    [
+        ((), front_store.WATCH_TIME, 0.0),
+        ((), front_store.WATCH_TIME + 0.9, 0.9),
+        ((platform.Item('k', 'v', core.Revision(2)),), 0.4, 0.4),
+    ],
+)
+async def test_reply_that_was_held_up_is_not_taken_for_new(
+    items, seconds, age, monkeypatch
+):
+    """Guards drains against a confirmation of what the store said before.
+
+    On scale-2 of rasu-cluj a node learned of a drain after 3,048 ms: a
+    watcher had confirmed its configuration with an old reply.
+    """
+    now = 100.0
+
+    async def wait_changes(session, store, after, wait):
+        nonlocal now
+        now += seconds
+        return platform.Changes(items, core.Revision(2 if items else 1))
+
+    monkeypatch.setattr(platform, 'wait_changes', wait_changes)
+    monkeypatch.setattr(
+        front_store, 'time', types.SimpleNamespace(monotonic=lambda: now)
+    )
+    batches = front_store._watch(_make_parts(), core.Revision(1))
+    batch = await anext(batches)
+    await batches.aclose()
+    assert batch.age == pytest.approx(age)
--- a/citronweir/service/_config.py
+++ b/citronweir/service/_config.py
@@ -302,8 +302,10 @@
             batch = dataclasses.replace(batch, since=position)
             position = max(position, batch.complete_to)
             receive_records(peers, config, batch, RecordSource.STORE)
-            _confirm(config, peers.now(), peers.wall_now())
-            peers.announce(dataclasses.replace(batch, age=0.0))
+            # A watch that does not tell is taken to deliver at once.
+            age = batch.age if math.isfinite(batch.age) else 0.0
+            _confirm(config, peers.now() - age, peers.wall_now() - age)
+            peers.announce(dataclasses.replace(batch, age=age))
             if not peers.is_watcher():
                 break
     return heard
