--- a/citronweir/platform/_ingress.py
+++ b/citronweir/platform/_ingress.py
@@ -4,6 +4,9 @@
 from collections import abc
 import dataclasses
 import math
+import random
+import time
+import weakref
 
 from aiohttp import web
 
@@ -13,6 +16,11 @@
 # Callers reuse a connection that was idle for most of the idle limit of
 # the configuration, which may change while it is open.
 KEEP_ALIVE = 300.0  # seconds
+# A connection ends with an answer after this time, each at its own moment.
+# Callers that came from another region while their own nodes were away
+# would otherwise stay, at 16 ms and more for each request.
+MIN_CONN_AGE = 4.0  # seconds
+MAX_CONN_AGE = 8.0  # seconds
 BACKLOG = 1024  # connections that wait to be accepted
 MAX_FIELD_BYTES = 65536  # bytes of one header field
 # Deadline of a caller that states none that can be read.
@@ -49,18 +57,23 @@
     Attributes:
         running: Requests without an answer.
         is_stopping: Whether answers close their connections.
+        ends: Monotonic second at which each connection has had its time.
     """
 
     runner: web.ServerRunner | None = None
     running: int = 0
     is_stopping: bool = False
     idle: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    ends: weakref.WeakKeyDictionary[asyncio.Transport, float] = (
+        dataclasses.field(default_factory=weakref.WeakKeyDictionary)
+    )
 
 
 async def start_ingress(
     address: core.Address,
     handle: Handle,
     limits: abc.Callable[[], core.CallerLimits],
+    rng: random.Random,
 ) -> Ingress:
     """Starts to accept callers.
 
@@ -68,6 +81,7 @@
         address: Where to listen.
         handle: Answers a request; cancelled when its caller leaves.
         limits: Bounds of the configuration in force.
+        rng: Source of the jitter.
 
     Returns:
         State of the listener.
@@ -86,7 +100,7 @@
             ingress.running -= 1
             if not ingress.running:
                 ingress.idle.set()
-        if ingress.is_stopping:
+        if ingress.is_stopping or _is_aged(ingress, request, rng):
             response.force_close()
         return response
 
@@ -124,6 +138,18 @@
     await ingress.runner.cleanup()
 
 
+def _is_aged(ingress, request, rng):
+    """Returns whether the connection of a request has had its time."""
+    now, conn = time.monotonic(), request.transport
+    if conn is None:
+        return True
+    end = ingress.ends.get(conn)
+    if end is None:
+        end = now + rng.uniform(MIN_CONN_AGE, MAX_CONN_AGE)
+        ingress.ends[conn] = end
+    return now >= end
+
+
 async def _answer(request, handle, limits):
     request_id = request.headers.get(names.REQUEST_ID)
     if not request_id:
--- /dev/null
+++ b/citronweir/platform/_ingress_test.py
@@ -0,0 +1,100 @@
+"""Tests of the callers' listener of the platform."""
+
+import contextlib
+import random
+
+import aiohttp
+from aiohttp import test_utils
+
+from citronweir import core
+from citronweir import platform
+from citronweir.platform import _ingress as ingresses
+
+HEADERS = {'X-Request-Id': 'id', 'X-Deadline-Ms': '250', 'Host': 'a.example'}
+
+
+@contextlib.asynccontextmanager
+async def _run(handle):
+    port = test_utils.unused_port()
+    ingress = await platform.start_ingress(
+        core.Address('127.0.0.1', port),
+        handle,
+        lambda: core.CallerLimits(body_bytes=10),
+        random.Random(1),
+    )
+    try:
+        async with aiohttp.ClientSession() as session:
+            yield session, f'http://127.0.0.1:{port}/a/b%20c?d=%2f', ingress
+    finally:
+        await platform.close_ingress(ingress, 0.1)
+
+
+async def test_request_is_taken_as_it_came():
+    """Guards replicas against a path, field or deadline that was changed."""
+    taken = []
+
+    async def handle(req):
+        taken.append(req)
+        return core.NoRoute()
+
+    async with _run(handle) as (session, url, _):
+        headers = HEADERS | {'X-Own': 'v', 'Connection': 'X-Hop', 'X-Hop': '1'}
+        async with session.get(
+            aiohttp.client.URL(url, encoded=True), headers=headers
+        ) as resp:
+            assert resp.status == 404
+    (req,) = taken
+    assert (req.target, req.budget) == ('/a/b%20c?d=%2f', 0.25)
+    names = {name.lower() for name, _ in req.headers}
+    assert 'x-own' in names
+    assert not names & {'x-hop', 'connection', 'host', 'x-request-id'}
+
+
+async def test_outcomes_are_rendered():
+    """Guards callers: a refusal that is a promise, and one that is not."""
+    outcomes = [
+        core.Gathered(b'x' * 16, ('a', 'b'), 1),
+        core.Declined(core.NotRunReason.SHED, 0.25),
+        core.Unanswered(core.FailureReason.DEADLINE_PASSED),
+        core.Unanswered(core.FailureReason.UPSTREAM_ERROR),
+        core.Forwarded(core.Reply(500, (), b'', 'sig')),
+    ]
+    waiting = list(outcomes)
+
+    async def handle(req):
+        return waiting.pop(0)
+
+    seen = []
+    async with _run(handle) as (session, url, _):
+        for _ in outcomes:
+            async with session.get(url, headers=HEADERS) as resp:
+                seen.append((resp.status, resp.headers))
+    assert [status for status, _ in seen] == [200, 503, 504, 502, 500]
+    assert seen[0][1]['X-Part-Stamps'] == 'a, b'
+    assert seen[0][1]['X-Parts-Missing'] == '1'
+    assert seen[1][1]['Retry-After'] == '0.250'
+    assert seen[4][1]['X-Server-Stamp'] == 'sig'
+
+
+async def test_connection_ends_with_an_answer_after_a_while(monkeypatch):
+    """Guards callers that came from another region while theirs was away."""
+    monkeypatch.setattr(ingresses, 'MIN_CONN_AGE', 0.0)
+    monkeypatch.setattr(ingresses, 'MAX_CONN_AGE', 0.0)
+
+    async def handle(req):
+        return core.NoRoute()
+
+    async with _run(handle) as (session, url, _):
+        async with session.get(url, headers=HEADERS) as resp:
+            assert resp.headers['Connection'] == 'close'
+
+
+async def test_body_over_the_limit_is_refused_unread():
+    """Guards memory against a body that the operators do not allow."""
+
+    async def handle(req):
+        raise AssertionError('not reached')
+
+    async with _run(handle) as (session, url, _):
+        async with session.post(url, headers=HEADERS, data=b'x' * 11) as resp:
+            assert resp.status == 413
--- a/citronweir/programs/_compose_front.py
+++ b/citronweir/programs/_compose_front.py
@@ -96,7 +96,7 @@
         return await service.run_request(peers, req)
 
     ingress = await platform.start_ingress(
-        boot.callers, handle, lambda: _caller_limits(parts)
+        boot.callers, handle, lambda: _caller_limits(parts), parts.rng
     )
     config_peers = store.make_config_peers(parts)
     node_server = await nodes.start_server(
