--- a/citronweir/platform/_boot.py
+++ b/citronweir/platform/_boot.py
@@ -6,6 +6,7 @@
 
 from collections import abc
 import dataclasses
+import math
 import os
 import pathlib
 import tomllib
@@ -29,15 +30,10 @@
         readiness: Listener for the platform's readiness checks.
         node_ports: First and last port that nodes may use between them.
         store: Address of the platform's store.
-        heartbeat: Seconds between two writes of a replica.
-        drain_time: Seconds after which a draining replica must get no
-            new request.
-        apply_time: Seconds after which a configuration is in force.
         stop_time: Seconds between SIGTERM and SIGKILL.
         extra_ratio: Arrivals at a service beyond the first, for each
             request, over all nodes.
         extra_slack: The same in a window, beyond the ratio.
-        extra_window: Length of the window, seconds.
     """
 
     node_id: core.NodeId
@@ -48,13 +44,9 @@
     readiness: core.Address | None
     node_ports: tuple[int, int]
     store: core.Address
-    heartbeat: float
-    drain_time: float
-    apply_time: float
     stop_time: float
     extra_ratio: float
     extra_slack: float
-    extra_window: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,7 +78,7 @@
         return _decode(raw)
     except KeyError as exc:
         return BootError(str(exc.args[0]), 'missing')
-    except (AttributeError, TypeError, ValueError) as exc:
+    except (AttributeError, OverflowError, TypeError, ValueError) as exc:
         return BootError('settings', str(exc))
 
 
@@ -99,12 +91,11 @@
     host, _, port = text.rpartition(':')
     if not host:
         raise ValueError(f'no address: {text!r}')
-    return core.Address(host, int(port))
+    return core.Address(host, _parse_port(port))
 
 
 def _decode(raw):
     bounds, listen = raw.get('bounds', {}), raw['listen']
-    first, last = raw['internal_ports']
     readiness = listen.get('readiness')
     return Boot(
         node_id=core.NodeId(raw['node']),
@@ -116,17 +107,30 @@
         host=str(raw['ip']),
         callers=parse_address(listen['front']),
         readiness=parse_address(readiness) if readiness else None,
-        node_ports=(int(first), int(last)),
+        node_ports=_parse_ports(*raw['internal_ports']),
         store=parse_address(raw['platform']['address']),
-        heartbeat=_seconds(raw, 'heartbeat_ms', 1200),
-        drain_time=_seconds(bounds, 'drain_ms', 3000),
-        apply_time=_seconds(bounds, 'config_apply_ms', 3000),
-        stop_time=float(bounds.get('grace_s', 6.0)),
-        extra_ratio=float(bounds.get('retry_ratio', 0.1)),
-        extra_slack=float(bounds.get('retry_slack', 20.0)),
-        extra_window=float(bounds.get('retry_window_s', 10.0)),
+        stop_time=_parse_bound(bounds, 'grace_s', 6.0),
+        extra_ratio=_parse_bound(bounds, 'retry_ratio', 0.1),
+        extra_slack=_parse_bound(bounds, 'retry_slack', 20.0),
     )
 
 
-def _seconds(fields, name, default):
-    return float(fields.get(name, default)) / 1000.0
+def _parse_ports(first, last):
+    ports = _parse_port(first), _parse_port(last)
+    if ports[0] > ports[1]:
+        raise ValueError(f'no range of ports: {first} to {last}')
+    return ports
+
+
+def _parse_port(value):
+    port = int(value)
+    if not 0 < port < 1 << 16:
+        raise ValueError(f'no port: {value!r}')
+    return port
+
+
+def _parse_bound(fields, name, default):
+    bound = float(fields.get(name, default))
+    if not 0 <= bound < math.inf:
+        raise ValueError(f'{name} is no bound: {bound}')
+    return bound
--- a/citronweir/platform/_boot_test.py
+++ b/citronweir/platform/_boot_test.py
@@ -1,5 +1,11 @@
 """Tests of the settings file of the platform."""
 
+import math
+import tomllib
+
+import hypothesis
+from hypothesis import strategies as st
+
 from citronweir import core
 from citronweir import platform
 from citronweir.platform import _boot as boot
@@ -50,3 +56,42 @@
     assert isinstance(_read(tmp_path, 'node = '), platform.BootError)
     missing = platform.read_boot({'CITRONWEIR_BOOT': str(tmp_path / 'none')})
     assert isinstance(missing, platform.BootError)
+
+
+NUMBERS = st.integers() | st.floats() | st.just(10**400)
+ADDRESSES = st.builds('{}:{}'.format, st.text(max_size=3), st.integers())
+VALUES = NUMBERS | st.booleans() | st.text(max_size=8) | ADDRESSES
+FIELDS = {
+    'node': VALUES,
+    'zone': VALUES,
+    'ip': VALUES,
+    'internal_ports': VALUES | st.tuples(NUMBERS, NUMBERS).map(list),
+    'zones': VALUES | st.dictionaries(st.just('east'), VALUES),
+    'listen': VALUES
+    | st.fixed_dictionaries({'front': VALUES}, optional={'readiness': VALUES}),
+    'bounds': VALUES
+    | st.dictionaries(
+        st.sampled_from(['grace_s', 'retry_ratio', 'retry_slack']), NUMBERS
+    ),
+    'platform': VALUES | st.fixed_dictionaries({'address': VALUES}),
+}
+
+
+@hypothesis.given(
+    name=st.sampled_from([*FIELDS]), data=st.data(), is_missing=st.booleans()
+)
+@hypothesis.settings(max_examples=400)
+def test_any_settings_become_a_record_or_an_error(name, data, is_missing):
+    """Guards a start against a field of another type or size."""
+    raw = tomllib.loads(TEXT)
+    del raw[name]
+    if not is_missing:
+        raw[name] = data.draw(FIELDS[name])
+    cfg = boot.decode_boot(raw)
+    assert isinstance(cfg, platform.Boot | platform.BootError)
+    if isinstance(cfg, platform.Boot):
+        ports = (cfg.callers.port, cfg.store.port, *cfg.node_ports)
+        assert all(0 < port < 65536 for port in ports)
+        assert cfg.node_ports[0] <= cfg.node_ports[1]
+        bounds = (cfg.stop_time, cfg.extra_ratio, cfg.extra_slack)
+        assert all(0 <= bound < math.inf for bound in bounds)
--- a/citronweir/platform/_store_test.py
+++ b/citronweir/platform/_store_test.py
@@ -1,8 +1,12 @@
 """Tests of the client of the platform's store against its stand-in."""
 
 import contextlib
+import json
 
 from aiohttp import test_utils
+from aiohttp import web
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from citronweir import core
@@ -76,3 +80,104 @@
     async with _run(store) as where:
         reply = await platform.wait_changes(*where, core.Revision(1), 0.01)
     assert reply.fault is fault
+
+
+async def test_read_is_never_stale():
+    """Guards against a node that starts with a configuration of the past."""
+    store = stores.Store()
+    stores.put(store, 'op/config', b'old')
+    stores.keep_stale(store)
+    stores.put(store, 'op/config', b'new')
+    async with _run(store) as where:
+        listing = await platform.read_all(*where)
+    assert [item.value for item in listing.items] == ['new']
+    assert listing.revision == store.revision
+
+
+async def test_late_write_of_a_stopped_node_lists_nobody():
+    """Guards against a node that is called after it has gone.
+
+    The write of its record gets no answer, and the store does it after
+    the node has ended its lease.
+    """
+    store = stores.Store(late_writes=1)
+    node = core.ListedNode(
+        core.NodeId('n1'),
+        core.Address('127.0.0.1', 1),
+        core.DataCentre('a'),
+        core.Incarnation(1),
+    )
+    async with _run(store) as where:
+        lease = await platform.grant_lease(*where, 15.0)
+        reply = await platform.write_node(*where, node, lease)
+        assert reply.fault is platform.StoreFault.NO_REPLY
+        await platform.end_lease(*where, lease)
+    assert stores.do_delayed(store) == [404]
+    assert not store.items
+
+
+async def test_refused_machine_is_told_apart_from_the_others():
+    """Guards the tests of nodes against a stand-in that refuses all."""
+    store = stores.Store(refused={'n1': stores.Outage.BUSY})
+    for machine, is_refused in (('n1', True), ('n2', False)):
+        app = stores.make_app(store, machine)
+        async with test_utils.TestServer(app) as server:
+            async with platform.make_store_session() as session:
+                address = core.Address('127.0.0.1', server.port)
+                reply = await platform.read_all(session, address)
+        assert isinstance(reply, platform.StoreRefusal) == is_refused
+
+
+SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=8)
+    | st.sampled_from(['eA==', 'op/config'])
+)
+REPLY_FIELDS = (
+    'items',
+    'events',
+    'has_more',
+    'current_rev',
+    'key',
+    'value',
+    'revision',
+    'removed',
+    'lease',
+    'ttl_ms',
+)
+REPLIES = st.recursive(
+    SCALARS,
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from(REPLY_FIELDS), inner)
+    ),
+    max_leaves=10,
+)
+
+
+@hypothesis.given(replies=st.lists(REPLIES, min_size=8, max_size=8))
+@hypothesis.settings(max_examples=40, deadline=None)
+async def test_any_reply_becomes_a_result(replies):
+    """Guards the watch of a node against a reply of another form."""
+    texts = [json.dumps(reply) for reply in replies]
+
+    async def answer(request):
+        return web.Response(text=texts.pop() if texts else '{}')
+
+    app = web.Application()
+    app.router.add_route('*', '/{path:.*}', answer)
+    async with test_utils.TestServer(app) as server:
+        async with platform.make_store_session() as session:
+            where = session, core.Address('127.0.0.1', server.port)
+            listing = await platform.read_all(*where)
+            changes = await platform.wait_changes(*where, 1, 0.01)
+            lease = await platform.grant_lease(*where, 15.0)
+    for reply, known in (
+        (listing, platform.Listing),
+        (changes, platform.Changes),
+        (lease, platform.Lease),
+    ):
+        assert isinstance(reply, known | platform.StoreRefusal)
--- a/fakes/platform_store.py
+++ b/fakes/platform_store.py
@@ -1,8 +1,9 @@
 """Stand-in of the users' store, by its published protocol.
 
 Keys with revisions, leases, paged ranges, watches and transactions over
-HTTP, with faults that a test sets: refusals, silence, dropped history,
-lapsed leases, lost and late writes, and watches that hear nothing.
+HTTP, with faults that a test sets: refusals, silence, also towards some
+machines only, dropped history, lapsed leases, lost and late writes, stale
+reads, and watches that hear nothing.
 """
 
 import asyncio
@@ -14,6 +15,7 @@
 from aiohttp import web
 
 PAGE = 500  # items of one page
+MACHINE = web.AppKey('machine', str)
 
 
 class Outage(enum.Enum):
@@ -43,8 +45,13 @@
     Attributes:
         history: Changes in order: revision, key, item or None if removed.
         compacted: Revision up to which the history is dropped.
+        page: Items of one page.
+        refused: Machines towards which the store fails, and how.
         is_mute: Whether watches hear nothing.
         lost_writes: Next writes that take effect without an answer.
+        late_writes: Next writes that get no answer and are done later.
+        delayed: The bodies of late writes until ``do_delayed``.
+        stale: Items and revision that reads get which allow it.
         calls: Calls that came, by path.
     """
 
@@ -56,8 +63,12 @@
     compacted: int = 0
     page: int = PAGE
     outage: Outage = Outage.NONE
+    refused: dict[str, Outage] = dataclasses.field(default_factory=dict)
     is_mute: bool = False
     lost_writes: int = 0
+    late_writes: int = 0
+    delayed: list[dict] = dataclasses.field(default_factory=list)
+    stale: tuple[dict[str, Item], int] | None = None
     leases: dict[int, float] = dataclasses.field(default_factory=dict)
     lease_ids: itertools.count = dataclasses.field(
         default_factory=lambda: itertools.count(7000)
@@ -99,8 +110,26 @@
             remove(store, key)
 
 
-def make_app(store: Store) -> web.Application:
-    """Builds the HTTP application of the stand-in."""
+def keep_stale(store: Store) -> None:
+    """Lets reads that allow it see the store as it is now."""
+    store.stale = dict(store.items), store.revision
+
+
+def do_delayed(store: Store) -> list[int]:
+    """Does the late writes; returns the status of each."""
+    statuses = [_write(store, fields)[0] for fields in store.delayed]
+    store.delayed.clear()
+    return statuses
+
+
+def make_app(store: Store, machine: str = '') -> web.Application:
+    """Builds the HTTP application of the stand-in.
+
+    Args:
+        store: State of the store.
+        machine: Machine that this application serves, if the store is to
+            refuse some of them.
+    """
     app = web.Application(client_max_size=4 << 20)
     for method, path, answer in (
         ('GET', '/citronweir/kv-key', _key),
@@ -112,47 +141,63 @@
         ('DELETE', '/citronweir/kv-lease-end/{lease}', _end),
     ):
         app.router.add_route(method, path, _make_handler(store, path, answer))
+    app[MACHINE] = machine
     return app
 
 
 def _make_handler(store, path, answer):
     async def handle(request):
         store.calls[path] = store.calls.get(path, 0) + 1
-        match store.outage:
-            case Outage.BUSY:
-                return web.Response(status=503)
-            case Outage.MANY:
-                return web.Response(status=429)
-            case Outage.SILENT:
-                await asyncio.sleep(3600)
-            case Outage.RESET:
-                request.transport.abort()
-                return web.Response(status=503)
-        return await answer(store, request)
+        refusal = await _fail(store, request)
+        return await answer(store, request) if refusal is None else refusal
 
     return handle
 
 
+async def _fail(store, request):
+    """Returns the refusal of a call, or None while the store works."""
+    match store.refused.get(request.app[MACHINE], store.outage):
+        case Outage.BUSY:
+            return web.Response(status=503)
+        case Outage.MANY:
+            return web.Response(status=429)
+        case Outage.SILENT:
+            await asyncio.sleep(3600)
+        case Outage.RESET:
+            request.transport.abort()
+            return web.Response(status=503)
+    return None
+
+
+def _read(store, request):
+    """Returns the items and the revision that a read sees."""
+    if store.stale is not None and request.query.get('allow_stale') == '1':
+        return store.stale
+    return store.items, store.revision
+
+
 async def _key(store, request):
-    item = store.items.get(request.query['key'])
+    items, revision = _read(store, request)
+    item = items.get(request.query['key'])
     if item is None:
         return web.Response(status=404)
     shown = _show(request.query['key'], item)
-    return web.json_response(shown | {'current_rev': store.revision})
+    return web.json_response(shown | {'current_rev': revision})
 
 
 async def _range(store, request):
+    items, revision = _read(store, request)
     prefix = request.query['path_prefix']
     after = request.query.get('after', '')
     keys = sorted(
-        key for key in store.items if key.startswith(prefix) and key > after
+        key for key in items if key.startswith(prefix) and key > after
     )
     page = keys[: store.page]
     return web.json_response(
         {
-            'items': [_show(key, store.items[key]) for key in page],
+            'items': [_show(key, items[key]) for key in page],
             'has_more': len(keys) > len(page),
-            'current_rev': store.revision,
+            'current_rev': revision,
         }
     )
 
@@ -169,8 +214,9 @@
             for revision, key, item in store.history
             if revision > after and key.startswith(prefix)
         ]
-        if store.outage is Outage.SILENT:
-            await asyncio.sleep(3600)
+        refusal = await _fail(store, request)
+        if refusal is not None:
+            return refusal
         left = end - loop.time()
         if (events and not store.is_mute) or left <= 0:
             shown = [] if store.is_mute else events
@@ -186,27 +232,40 @@
 
 async def _txn(store, request):
     fields = await request.json()
-    for row in fields.get('expect_rev', ()):
+    if store.late_writes:
+        store.late_writes -= 1
+        store.delayed.append(fields)
+        request.transport.abort()
+        return web.Response(status=503)
+    status, reply = _write(store, fields)
+    if store.lost_writes:
+        store.lost_writes -= 1
+        request.transport.abort()
+    return web.json_response(reply, status=status)
+
+
+def _write(store, fields):
+    """Does a write if its conditions hold; returns status and reply."""
+    rows = fields.get('expect_rev', ())
+    for row in rows:
         item = store.items.get(row['key'])
         if (item.revision if item else 0) != row['revision']:
             items = [
                 _show(row['key'], store.items[row['key']])
-                for row in fields['expect_rev']
+                for row in rows
                 if row['key'] in store.items
             ]
-            return web.json_response({'items': items}, status=412)
-    for row in fields.get('puts', ()):
+            return 412, {'items': items}
+    puts = fields.get('puts', ())
+    for row in puts:
         if row.get('lease') and row['lease'] not in store.leases:
-            return web.Response(status=404)
-    for row in fields.get('puts', ()):
+            return 404, {}
+    for row in puts:
         value = base64.b64decode(row['value'], validate=True)
         put(store, row['key'], value, row.get('lease', 0))
     for key in fields.get('remove', ()):
         remove(store, key)
-    if store.lost_writes:
-        store.lost_writes -= 1
-        request.transport.abort()
-    return web.json_response({'revision': store.revision})
+    return 200, {'revision': store.revision}
 
 
 async def _lease(store, request):
--- a/tests/front_test.py
+++ b/tests/front_test.py
@@ -73,9 +73,9 @@
 class Fleet:
     """State of a test: the stand-ins and the nodes."""
 
-    def __init__(self, store, store_port, session, tmp_path):
+    def __init__(self, store, stack, session, tmp_path):
         self.store = store
-        self.store_port = store_port
+        self.stack = stack
         self.session = session
         self.tmp_path = tmp_path
         self.replicas = {}
@@ -99,6 +99,8 @@
     # Each node has an address of its own, as on the platform's machines:
     # the port for metrics is the same on all of them.
     host = f'127.0.1.{len(fleet.nodes) + 1}'
+    app = stores.make_app(fleet.store, name)
+    store = await fleet.stack.enter_async_context(test_utils.TestServer(app))
     path = fleet.tmp_path / f'{name}.toml'
     path.write_text(
         SETTINGS.format(
@@ -107,7 +109,7 @@
             port=port,
             front=front,
             ready=ready,
-            store=fleet.store_port,
+            store=store.port,
             grace=grace,
         )
     )
@@ -154,9 +156,9 @@
 @contextlib.asynccontextmanager
 async def _run_fleet(tmp_path, nodes=('n1',)):
     store = stores.Store()
-    async with test_utils.TestServer(stores.make_app(store)) as server:
+    async with contextlib.AsyncExitStack() as stack:
         async with aiohttp.ClientSession() as session:
-            fleet = Fleet(store, server.port, session, tmp_path)
+            fleet = Fleet(store, stack, session, tmp_path)
             for number in range(2):
                 for copy in 'ab':
                     name = f'i-{number}{copy}'
@@ -286,6 +288,30 @@
             assert len(fleet.replicas[name].seen) == seen[name]
 
 
+@pytest.mark.parametrize('outage', list(stores.Outage)[1:])
+async def test_machine_that_the_store_refuses_hears_from_others(
+    tmp_path, outage
+):
+    """Guards G6 and G8 while the store serves all machines but some."""
+    async with _run_fleet(tmp_path, ('n1', 'n2', 'n3')) as fleet:
+        fleet.store.refused = {'n1': outage, 'n2': outage}
+        server = fleet.servers['i-0a']
+        _put_replica(fleet.store, 's0', 'i-0a', server, 'draining')
+        _put_config(fleet.store, 5, _route(path_prefix='/new/', backend='s0'))
+        for name in fleet.nodes:
+            async with asyncio.timeout(3.0):
+                while (await _ask(fleet, name, '/new/'))[0] != 200:
+                    await asyncio.sleep(0.05)
+        seen = len(fleet.replicas['i-0a'].seen)
+        for name in fleet.nodes:
+            for number in range(10):
+                status, _, _ = await _ask(
+                    fleet, name, '/new/', f'{name}-{number}'
+                )
+                assert status == 200
+        assert len(fleet.replicas['i-0a'].seen) == seen
+
+
 async def test_outage_with_lapsed_entries_keeps_the_replicas(tmp_path):
     """Guards against a node that forgets its replicas after an outage."""
     async with _run_fleet(tmp_path) as fleet:
