--- a/citronweir/core/_gossip.py
+++ b/citronweir/core/_gossip.py
@@ -15,6 +15,7 @@
 
 MAX_UPDATES = 8  # records on one message
 RETRANSMIT_FACTOR = 3  # times log2(n + 1)
+NEWS_SENDS = 5  # messages on which a record counts as news
 SUSPICION_TIME = 5.0  # seconds
 BUCKETS = 256
 # Records of dead members and of failed or draining replicas outlive a
@@ -164,6 +165,11 @@
     return tuple(updates)
 
 
+def has_news(records: Records) -> bool:
+    """Returns whether a record waits that few messages have carried."""
+    return any(queued.sent < NEWS_SENDS for queued in records.queue.values())
+
+
 def take_changes(records: Records) -> tuple[data.Update, ...]:
     """Returns the records that changed since the last call."""
     changes = tuple(records.changes)
--- a/citronweir/core/_members.py
+++ b/citronweir/core/_members.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import math
 import random
 
 from citronweir.core import _data as data
@@ -63,6 +64,7 @@
 
     Attributes:
         due: Monotonic second at which each periodic action is due.
+        probed_at: Monotonic second of the last probe of a round.
         order: Members still to probe in this round.
         contacts: Known nodes of each other data centre.
         is_joined: Whether a whole table has come. The seeds may be known
@@ -75,6 +77,7 @@
     seq: int
     last_tick: float
     due: dict[abc.Callable, float] = dataclasses.field(default_factory=dict)
+    probed_at: float = -math.inf
     order: list[data.NodeId] = dataclasses.field(default_factory=list)
     probing: dict[int, Probing] = dataclasses.field(default_factory=dict)
     relays: dict[int, Relay] = dataclasses.field(default_factory=dict)
--- a/citronweir/core/_membership.py
+++ b/citronweir/core/_membership.py
@@ -15,6 +15,9 @@
 from citronweir.core import _probing as probing
 
 PROBE_INTERVAL = 1.0  # seconds
+# A node that holds news probes at this interval, since a drain and a new
+# replica must be known in the whole data centre within 3 s (G6).
+NEWS_INTERVAL = 0.25  # seconds
 DIGEST_INTERVAL = 10.0  # seconds
 # Dead members are probed now and then, since after a partition no side
 # would otherwise contact the other again.
@@ -154,6 +157,11 @@
     for seq, probe in list(state.probing.items()):
         if probe.due <= now:
             sends += probing.go_on(state, seq, now)
+    if gossip.has_news(state.records):
+        soon = state.probed_at + NEWS_INTERVAL
+        state.due[probing.probe_next] = min(
+            state.due[probing.probe_next], soon
+        )
     for action, interval in _ACTIONS.items():
         if state.due[action] <= now:
             if action is exchange.ask_seed and not state.is_joined:
--- a/citronweir/core/_membership_test.py
+++ b/citronweir/core/_membership_test.py
@@ -231,6 +231,26 @@
         assert node.state.records.replicas['r1'] == replica
 
 
+def test_news_of_a_replica_reaches_all_nodes_within_three_seconds():
+    """Guards against nodes that choose among replicas which others know.
+
+    A node that has not heard of the ready replicas refuses searches while
+    those that it knows drain, which happened for up to a second.
+    """
+    for seed in range(5):
+        net, nodes = _fleet(60, seed)
+        virtual.run(net, 20.0)
+        replica = _replica('r1')
+        _publish(net, nodes[seed], replica)
+        virtual.run(net, 3.0)
+        behind = [
+            _name(node)
+            for node in nodes
+            if node.state.records.replicas.get('r1') != replica
+        ]
+        assert not behind, (seed, behind)
+
+
 def test_drain_is_not_undone_by_a_stale_record():
     """Guards against new work for a replica that is leaving (G6)."""
     net, nodes = _fleet(6)
--- a/citronweir/core/_probing.py
+++ b/citronweir/core/_probing.py
@@ -12,6 +12,7 @@
     state: members.Membership, now: float
 ) -> list[members.GossipSend]:
     """Probes the next member of the round."""
+    state.probed_at = now
     while True:
         if not state.order:
             states = set(data.MemberState) - {data.MemberState.DEAD}
