--- a/citronweir/core/_grouping.py
+++ b/citronweir/core/_grouping.py
@@ -4,8 +4,9 @@
 of another region, which merges the parts there, so that few bytes cross.
 Many shards are split among nodes of the region as well: the processor
 time of one node for hundreds of sub-requests would be the latency, and
-a replica accepts fewer connections than there are nodes. Who asks which
-shards is steady, since each change opens connections anew.
+a replica accepts fewer connections than there are nodes. These nodes stand
+in the data centres of the replicas, so that only merged answers leave them.
+Who asks which shards is steady, since each change opens connections anew.
 """
 
 from collections import abc
@@ -55,13 +56,13 @@
     by_id = {node.node_id: node for node in nodes}
     groups, local = [], []
     for region, places in by_region.items():
-        held = _find_holding_dcs(route, places, list_usable)
-        peers = [
-            node.node_id
-            for node in by_id.values()
-            if vantage.regions.get(node.dc, '') == region
-            and (region == own or node.dc in held)
-        ]
+        if is_grouped(route):
+            places_near = range(len(route.shards))
+        else:
+            places_near = places
+        peers = _list_asking(
+            route, places_near, list_usable, by_id.values(), region, vantage
+        )
         for number, chunk in _chunk(route, places):
             if len(chunk) < MIN_REMOTE or (
                 region == own and not is_grouped(route)
@@ -104,17 +105,15 @@
 
 def list_owned(
     route: data.Route,
+    list_usable: ListUsable,
     nodes: abc.Iterable[data.ListedNode],
     own_id: data.NodeId,
     vantage: placement.Vantage,
 ) -> list[int]:
     """Lists the shards of a route that this node asks for its region."""
     region = vantage.regions.get(vantage.dc, '')
-    peers = [
-        node.node_id
-        for node in nodes
-        if vantage.regions.get(node.dc, '') == region
-    ]
+    places = range(len(route.shards))
+    peers = _list_asking(route, places, list_usable, nodes, region, vantage)
     return [
         place
         for number, chunk in _chunk(route, range(len(route.shards)))
@@ -157,12 +156,23 @@
     return alike[place:] + alike[:place] + ranked[len(alike) :]
 
 
-def _find_holding_dcs(route, places, list_usable):
-    return {
+def _list_asking(route, places, list_usable, nodes, region, vantage):
+    """Lists the nodes of a region that stand beside replicas of shards.
+
+    A node in another data centre of the region would have each part sent
+    to it over the link between the two. Without a node beside them any
+    node of the region is as good.
+    """
+    held = {
         replica.dc
         for place in places
         for replica in list_usable(route.shards[place])
     }
+    inside = [
+        node for node in nodes if vantage.regions.get(node.dc, '') == region
+    ]
+    beside = [node for node in inside if node.dc in held]
+    return [node.node_id for node in beside or inside]
 
 
 def _chunk(route, places):
--- a/citronweir/core/_grouping_test.py
+++ b/citronweir/core/_grouping_test.py
@@ -101,11 +101,27 @@
     assert all(
         REGIONS[node.dc] == 'r0' for item in asked for node in item.owners
     )
-    owned = core.list_owned(_route(490), NODES, NODES[0].node_id, VANTAGE)
+    owned = core.list_owned(
+        _route(490),
+        _list_usable(holders),
+        NODES,
+        NODES[0].node_id,
+        VANTAGE,
+    )
     (here,) = [group for group in groups if not group.owners]
     assert list(here.places) == sorted(owned)
 
 
+def test_owners_stand_in_the_data_centre_of_the_replicas():
+    """Guards bytes between data centres against each part crossing once."""
+    holders = {f's{n}': ['d3'] for n in range(90)}
+    groups = _plan(holders, 90)
+    assert {node.dc for item in groups for node in item.owners} == {'d3'}
+    apart = tuple(node for node in NODES if node.dc != 'd3')
+    groups = _plan(holders, 90, apart)
+    assert {node.dc for item in groups for node in item.owners} == {'d0'}
+
+
 def test_owners_are_steady_while_other_nodes_come_and_go():
     """Guards replicas against new connections after each change."""
     holders = {f's{n}': ['d0'] for n in range(90)}
--- a/citronweir/programs/_compose_front.py
+++ b/citronweir/programs/_compose_front.py
@@ -230,6 +230,10 @@
     extra, regions = parts.extra, set(parts.vantage.regions.values())
     routes = parts.catalogue.index.table.routes
     listed = wiring.list_nodes(parts)
+
+    def list_usable(name):
+        return core.list_usable(parts.catalogue.directory, name)
+
     extra.owners = core.OWNERS * max(1, len(regions))
     extra.grouped = frozenset(
         name
@@ -242,7 +246,7 @@
         for route in routes
         if core.is_grouped(route)
         for place in core.list_owned(
-            route, listed, parts.own.node_id, parts.vantage
+            route, list_usable, listed, parts.own.node_id, parts.vantage
         )
     )
 
