--- a/citronweir/programs/_compose_front.py
+++ b/citronweir/programs/_compose_front.py
@@ -24,6 +24,10 @@
 STOP_SERVE_SHARE = 0.6
 STOP_END_SHARE = 0.8
 SYNC_INTERVAL = 1.0  # seconds
+# Seconds for which a node that has read the store does not watch it yet.
+# Nodes that start together know too few others at first, and most of them
+# would take themselves for watchers.
+WATCH_DELAY = 0.5
 # Seconds to wait for answers to other nodes when the streams close.
 LINKS_END_TIME = 0.2
 
@@ -161,6 +165,7 @@
     )
     # Connections are opened before the first requests need them.
     await _upkeep(parts)
+    await asyncio.sleep(WATCH_DELAY)
     await service.run_watch(peers, parts.config)
 
 
--- a/citronweir/service/_config.py
+++ b/citronweir/service/_config.py
@@ -20,6 +20,9 @@
 # that the start of many nodes does not load the store.
 START_TRIES = 3
 START_WAIT = 0.5  # seconds
+# A watch goes on from a configuration that was confirmed this lately,
+# without reading everything again; stores keep 20 s of history or more.
+RESUME_TIME = 10.0  # seconds
 WATCH_CHECK = 0.25  # seconds between checks whether this node watches
 # Waits are drawn from the whole span below these bounds, so that nodes
 # do not reconnect in step after an outage.
@@ -285,10 +288,10 @@
     Returns:
         Whether the watch delivered anything.
     """
-    if not config.is_resumable:
+    is_fresh = config_age(peers, config) < RESUME_TIME
+    if not (config.is_resumable and is_fresh):
         if not await _load_from_store(peers, config, RecordSource.STORE):
             return False
-        config.is_resumable = True
     position = config.state.complete_to
     telemetry.log(telemetry.Event.WATCH_STARTED, revision=position)
     heard = False
@@ -350,6 +353,7 @@
     receive_records(peers, config, batch, source)
     _set_ready(config, 'the store')
     _confirm(config, asked_at, asked_wall)
+    config.is_resumable = True
     return True
 
 
--- a/tests/front_test.py
+++ b/tests/front_test.py
@@ -243,6 +243,21 @@
                 assert (await _ask(fleet, name, '/new/'))[0] == 200
 
 
+async def test_nodes_that_start_together_read_the_store_once(tmp_path):
+    """Guards the store against a rush after the loss of all power.
+
+    Each node took itself for a watcher until it knew the others, and read
+    everything a second time for its watch.
+    """
+    names = tuple(f'n{number}' for number in range(1, 7))
+    async with _run_fleet(tmp_path, names) as fleet:
+        await asyncio.sleep(2.0)
+        calls = fleet.store.calls
+    assert calls['/citronweir/kv-range'] == len(names)
+    # Two watchers see each of the other registrations at most once.
+    assert calls['/citronweir/kv-watch'] < 3 * len(names)
+
+
 async def test_lost_watchers_do_not_hide_a_change(tmp_path):
     """Guards G8 against the death of both nodes that watch the store."""
     names = ('n1', 'n2', 'n3')
