--- a/citronweir/core/_extra_load.py
+++ b/citronweir/core/_extra_load.py
@@ -12,9 +12,10 @@
 # Share of the bound that is spent; the rest covers nodes that join before
 # the others have counted them.
 USED_SHARE = 0.8
-# Part of a full bucket that hedges leave to retries: a retry decides
-# whether a request is answered at all, a hedge how soon.
+# What hedges leave to retries, at most this part of a full bucket: a retry
+# decides whether a request is answered at all, a hedge how soon.
 RETRY_RESERVE = 0.25
+RETRY_TOKENS = 1.0
 # Part of a full bucket that a starting node has: its predecessor may have
 # spent a full one in the same window, on every node after a mass restart.
 START_SHARE = 0.2
@@ -34,6 +35,9 @@
         owners: Nodes that ask each grouped service for all others.
         grouped: Services that owners ask.
         owned: Those of them that this node owns.
+        first_share: Part of a full bucket that a service has at its first
+            request. One that is new to a node which has run for a whole
+            window has no predecessor that spent from its bucket.
         tokens: What each service's bucket holds.
     """
 
@@ -43,6 +47,7 @@
     owners: int = 1
     grouped: frozenset[data.ServiceName] = frozenset()
     owned: frozenset[data.ServiceName] = frozenset()
+    first_share: float = START_SHARE
     tokens: dict[data.ServiceName, float] = dataclasses.field(
         default_factory=dict
     )
@@ -51,7 +56,7 @@
 def note_request(extra: ExtraLoad, service: data.ServiceName) -> None:
     """Earns the share of one request of a caller."""
     limit = bucket_size(extra, service)
-    tokens = extra.tokens.get(service, limit * START_SHARE)
+    tokens = extra.tokens.get(service, limit * extra.first_share)
     tokens += extra.ratio * USED_SHARE
     extra.tokens[service] = min(limit, tokens)
 
@@ -75,10 +80,10 @@
 ) -> bool:
     """Takes the token of a hedge or retry; returns whether there was one."""
     limit = bucket_size(extra, service)
-    tokens = extra.tokens.get(service, limit * START_SHARE)
+    tokens = extra.tokens.get(service, limit * extra.first_share)
     reserve = 0.0
     if kind is data.AttemptKind.HEDGE:
-        reserve = RETRY_RESERVE * limit
+        reserve = min(RETRY_TOKENS, RETRY_RESERVE * limit)
     if tokens - reserve < 1.0:
         return False
     extra.tokens[service] = tokens - 1.0
--- a/citronweir/core/_extra_load_test.py
+++ b/citronweir/core/_extra_load_test.py
@@ -84,3 +84,23 @@
     for _ in range(1000):
         core.note_request(extra, SERVICE)
     assert not core.take_extra(extra, SERVICE, core.AttemptKind.RETRY)
+
+
+def test_starting_owner_may_hedge():
+    """Guards the first seconds after a start against pausing replicas.
+
+    A few of the replicas of a route with many shards pause at any time,
+    so that nearly each of its requests needs a hedge. The bucket of a
+    starting owner held less than what hedges had to leave.
+    """
+    extra = core.ExtraLoad(RATIO, 200.0, 90, 9, {SERVICE}, {SERVICE})
+    core.note_request(extra, SERVICE)
+    assert core.take_extra(extra, SERVICE, core.AttemptKind.HEDGE)
+
+
+def test_service_that_is_new_to_a_running_node_has_a_full_bucket():
+    """Guards routes that move to new services against a second start."""
+    extra = core.ExtraLoad(RATIO, SLACK, 2)
+    extra.first_share = 1.0
+    core.note_request(extra, SERVICE)
+    assert extra.tokens[SERVICE] == core.bucket_size(extra, SERVICE)
--- a/citronweir/platform/_boot.py
+++ b/citronweir/platform/_boot.py
@@ -34,6 +34,7 @@
         extra_ratio: Arrivals at a service beyond the first, for each
             request, over all nodes.
         extra_slack: The same in a window, beyond the ratio.
+        extra_window: Length of the window, seconds.
     """
 
     node_id: core.NodeId
@@ -47,6 +48,7 @@
     stop_time: float
     extra_ratio: float
     extra_slack: float
+    extra_window: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,6 +114,7 @@
         stop_time=_parse_bound(bounds, 'grace_s', 6.0),
         extra_ratio=_parse_bound(bounds, 'retry_ratio', 0.1),
         extra_slack=_parse_bound(bounds, 'retry_slack', 20.0),
+        extra_window=_parse_bound(bounds, 'retry_window_s', 10.0),
     )
 
 
--- a/citronweir/programs/_compose_front.py
+++ b/citronweir/programs/_compose_front.py
@@ -214,6 +214,8 @@
         now - parts.started,
         now,
     )
+    if now - parts.started >= parts.boot.extra_window:
+        parts.extra.first_share = 1.0
     wiring.keep_streams(parts)
     upstreams.keep_only(lanes, directory.replicas)
     for replica_id in parts.loads.keys() - directory.replicas.keys():
@@ -226,36 +228,10 @@
         )
     if parts.catalogue.index is None or parts.is_stopping:
         return
-    _note_owned(parts)
+    requests.note_owned(parts)
     _warm(parts)
 
 
-def _note_owned(parts):
-    """Notes which shards owners ask, and which of them this node owns."""
-    extra, regions = parts.extra, set(parts.vantage.regions.values())
-    routes = parts.catalogue.index.table.routes
-    listed = wiring.list_nodes(parts)
-
-    def list_usable(name):
-        return core.list_usable(parts.catalogue.directory, name)
-
-    extra.owners = core.OWNERS * max(1, len(regions))
-    extra.grouped = frozenset(
-        name
-        for route in routes
-        if core.is_grouped(route)
-        for name in route.shards
-    )
-    extra.owned = frozenset(
-        route.shards[place]
-        for route in routes
-        if core.is_grouped(route)
-        for place in core.list_owned(
-            route, list_usable, listed, parts.own.node_id, parts.vantage
-        )
-    )
-
-
 def _warm(parts):
     """Keeps a connection open to each replica that this node uses."""
     directory, table = parts.catalogue.directory, parts.catalogue.index.table
--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -75,6 +75,32 @@
     )
 
 
+def note_owned(parts: parts_.FrontParts) -> None:
+    """Notes which shards owners ask, and which of them this node owns."""
+    extra, regions = parts.extra, set(parts.vantage.regions.values())
+    routes = parts.catalogue.index.table.routes
+    listed = nodes.list_nodes(parts)
+
+    def list_usable(name):
+        return core.list_usable(parts.catalogue.directory, name)
+
+    extra.owners = core.OWNERS * max(1, len(regions))
+    extra.grouped = frozenset(
+        name
+        for route in routes
+        if core.is_grouped(route)
+        for name in route.shards
+    )
+    extra.owned = frozenset(
+        route.shards[place]
+        for route in routes
+        if core.is_grouped(route)
+        for place in core.list_owned(
+            route, list_usable, listed, parts.own.node_id, parts.vantage
+        )
+    )
+
+
 def conn_limit(parts: parts_.FrontParts, name: core.ServiceName) -> int:
     """Returns the connections that this node may have to a replica.
 
--- a/citronweir/programs/_front_store.py
+++ b/citronweir/programs/_front_store.py
@@ -10,6 +10,7 @@
 from citronweir import telemetry
 from citronweir.programs import _front_nodes as nodes
 from citronweir.programs import _front_parts as parts_
+from citronweir.programs import _front_requests as requests
 
 # A watch ends after this time without a change. A connection that went
 # silent must not hide a change for longer than the 3 s within which a
@@ -38,6 +39,9 @@
         service.take_records(
             parts.catalogue, parts.config.state, fresh, time.monotonic()
         )
+        if any(isinstance(item.body, core.RouteTable) for item in fresh):
+            # The first requests of a new service fill its bucket.
+            requests.note_owned(parts)
 
     def is_watcher():
         age = service.config_age(peers, parts.config)
