--- a/citronweir/service/_groups.py
+++ b/citronweir/service/_groups.py
@@ -126,7 +126,10 @@
     """Makes a group of its own of the shards that were not answered."""
     if group.runs or not absent:
         return
-    names = tuple(group.services[place] for place in absent)
+    count = len(group.services)
+    names = tuple(
+        group.services[place] for place in absent if 0 <= place < count
+    )
     group.services = tuple(
         name for name in group.services if name not in names
     )
--- a/citronweir/service/_requests_test.py
+++ b/citronweir/service/_requests_test.py
@@ -375,6 +375,17 @@
     assert (outcome.missing, world.spent) == (0, {'s3': 1})
 
 
+def test_positions_beyond_the_group_are_passed_over():
+    """Guards a request against an answer to another query."""
+    world = World(
+        dataclasses.replace(GATHER, min_coverage=1.0),
+        groups=GROUPS,
+        answer=(0.02, _merged('s2'), 7, -1, 1),
+    )
+    outcome, _ = _run(world)
+    assert (outcome.missing, world.spent) == (0, {'s3': 1})
+
+
 def test_node_answers_a_group_query_at_its_due_time():
     """Guards the other groups of a request against one that is late."""
     world = World(script={'s3': [(0.5, _reply())]}, tokens=0)
