--- /dev/null
+++ b/bench/_soak_checks_test.py
@@ -0,0 +1,129 @@
+"""Tests that each check of the soak can fail."""
+
+import pytest
+
+from bench import _soak_checks as checks
+from fakes import platform_replica as replicas
+
+Kind = checks.Kind
+SERVICES = {'i-0a': 's0', 'i-0b': 's0', 'i-1a': 's1'}
+RECORDS = {'i-0a': b'0' * 32, 'i-0b': b'0' * 32, 'i-1a': b'1' * 32}
+
+
+def _reply(kind=Kind.ORDER, **fields):
+    fields = {'sent_at': 1.0, 'ended_at': 1.5} | fields
+    return checks.Reply(kind, 'q1', 'n1', **fields)
+
+
+def _state(*arrivals, ran=()):
+    """Builds a replica from the ids and times of its requests."""
+    state = replicas.Replica('i-0a', ran=list(ran))
+    for request_id, at in arrivals:
+        state.seen.append(('GET /', {'X-Request-Id': request_id}, b''))
+        state.seen_at.append(at)
+    return state
+
+
+@pytest.mark.parametrize(
+    'status, ran, is_wrong',
+    [
+        (200, ['q1'], False),
+        (200, [], True),
+        (200, ['q1', 'q1'], True),
+        (503, [], False),
+        (503, ['q1'], True),
+        (502, ['q1'], False),
+    ],
+)
+def test_orders_run_once_and_not_after_a_refusal(status, ran, is_wrong):
+    """Guards the soak against a second run that it does not see."""
+    errors = checks.check_runs([_reply(status=status)], [_state(ran=ran)])
+    assert bool(errors) == is_wrong
+
+
+@pytest.mark.parametrize(
+    'signatures, missing, body, is_wrong',
+    [
+        ('i-0a.q1, i-1a.q1', '0', b'1' * 32 + b'0' * 32, False),
+        ('i-0a.q1', '1', b'0' * 32, False),
+        ('i-0a.q2', '1', b'0' * 32, True),
+        ('i-0a.q1, i-0b.q1', '0', b'0' * 64, True),
+        ('i-0a.q1', '0', b'0' * 32, True),
+        ('i-0a.q1, i-1a.q1', '0', b'0' * 32 + b'1' * 32, True),
+        ('', '2', b'', True),
+    ],
+)
+def test_answers_name_their_parts(signatures, missing, body, is_wrong):
+    """Guards the soak against coverage that is not true."""
+    headers = {'X-Part-Stamps': signatures, 'X-Parts-Missing': missing}
+    reply = _reply(Kind.GATHER, status=200, headers=headers, body=body)
+    errors = checks.check_answers([reply], RECORDS, SERVICES)
+    assert bool(errors) == is_wrong
+
+
+@pytest.mark.parametrize(
+    'status, headers, is_wrong',
+    [
+        (404, {}, True),
+        (503, {}, True),
+        (503, {'Retry-After': '0.3'}, False),
+    ],
+)
+def test_refusals_are_checked(status, headers, is_wrong):
+    """Guards the soak against routes that vanish and mute refusals."""
+    reply = _reply(status=status, headers=headers)
+    errors = checks.check_answers([reply], RECORDS, SERVICES)
+    assert bool(errors) == is_wrong
+
+
+@pytest.mark.parametrize(
+    'error, arrivals, span, is_wrong',
+    [
+        ('reset', [('q1', 1.1)], None, True),
+        ('reset', [], None, False),
+        ('TimeoutError', [], None, True),
+        ('reset', [('q1', 1.1)], ('n1', 1.2, 3.0), False),
+        ('reset', [('q1', 1.1)], ('n2', 1.2, 3.0), True),
+    ],
+)
+def test_lost_answers_are_found(error, arrivals, span, is_wrong):
+    """Guards the soak against answers that a stop cuts off."""
+    spans = [checks.Span(*span, is_cut=True)] if span else []
+    errors = checks.check_lost(
+        [_reply(error=error)], [_state(*arrivals)], spans
+    )
+    assert bool(errors) == is_wrong
+
+
+def test_older_versions_are_found():
+    """Guards the soak against a configuration that reverts."""
+    assert checks.check_versions([('n1', 7, 3), ('n1', 7, 2)])
+    assert not checks.check_versions([('n1', 7, 3), ('n1', 8, 2)])
+
+
+@pytest.mark.parametrize(
+    'at, span, is_wrong',
+    [
+        (2.9, None, False),
+        (3.1, None, True),
+        (9.0, None, False),
+        (5.0, ('n1', 1.0, 2.5), False),
+        (5.6, ('n1', 1.0, 2.5), True),
+    ],
+)
+def test_requests_after_a_drain_are_found(at, span, is_wrong):
+    """Guards the soak against work for a replica that leaves."""
+    errors = checks.check_drains(
+        [checks.Drain('i-0a', 0.0, 8.0)],
+        {'i-0a': _state(('q1', at))},
+        [checks.Span(*span)] if span else [],
+    )
+    assert bool(errors) == is_wrong
+
+
+def test_extra_arrivals_are_counted_in_a_window():
+    """Guards the soak against hedges and retries beyond the bound."""
+    often = [('q1', number * 0.1) for number in range(60)]
+    assert checks.check_extra({'s0': [_state(*often)]})
+    seldom = [('q1', number * 1.0) for number in range(60)]
+    assert not checks.check_extra({'s0': [_state(*seldom)]})
--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -8,6 +8,7 @@
 import dataclasses
 import enum
 import functools
+import time
 
 
 class Fault(enum.Enum):
@@ -36,6 +37,8 @@
         max_conns: Connections that it accepts; it resets further ones.
         faults: Fault of each coming request; after them there is none.
         seen: Heads and bodies of the requests that came.
+        seen_at: Monotonic second of each of them.
+        ran: Ids of the requests that it worked on.
         cancelled: Requests whose connection closed while they ran.
     """
 
@@ -46,6 +49,8 @@
     seen: list[tuple[str, dict[str, str], bytes]] = dataclasses.field(
         default_factory=list
     )
+    seen_at: list[float] = dataclasses.field(default_factory=list)
+    ran: list[str] = dataclasses.field(default_factory=list)
     cancelled: int = 0
     conns: int = 0
     max_conns: int = 1000
@@ -70,6 +75,8 @@
             pass
     except (ConnectionError, asyncio.IncompleteReadError):
         pass
+    except asyncio.CancelledError:
+        pass  # the loop ends while a silent replica holds its answer back
     finally:
         replica.open_conns -= 1
         writer.close()
@@ -82,13 +89,16 @@
     length = int(headers.get('Content-Length', 0))
     body = await reader.readexactly(length)
     replica.seen.append((line, headers, body))
+    replica.seen_at.append(time.monotonic())
     if headers.get('X-Expect-Instance') != replica.replica_id:
         writer.write(_render(421, {'X-Instance-Id': replica.replica_id}))
         return True
+    fault = replica.faults.pop(0) if replica.faults else Fault.NONE
+    if fault is not Fault.SHED:
+        replica.ran.append(headers['X-Request-Id'])
     if replica.delay and await _is_cut(reader, replica.delay):
         replica.cancelled += 1
         return False
-    fault = replica.faults.pop(0) if replica.faults else Fault.NONE
     return await _answer(replica, headers, writer, fault)
 
 
