--- a/citronweir/nodes/_codec.py
+++ b/citronweir/nodes/_codec.py
@@ -187,7 +187,7 @@
         return {'s': message.seq}
     return {
         's': message.seq,
-        'c': [records.encode_config(record) for record in batch.records],
+        'c': records.pack_configs(batch.records),
         'to': batch.complete_to,
         'from': batch.since,
         # Absent for a sender that has never confirmed its records.
@@ -202,7 +202,7 @@
         return messages.Conf(seq, None)
     age = fields.get('age')
     batch = core.ConfigBatch(
-        tuple(map(records.decode_config, records.items(fields['c']))),
+        records.unpack_configs(fields['c']),
         core.Revision(records.number(fields['to'])),
         core.Revision(records.number(fields['from'])),
         math.inf if age is None else records.real(age),
--- a/citronweir/nodes/_codec_test.py
+++ b/citronweir/nodes/_codec_test.py
@@ -1,6 +1,7 @@
 """Tests of the frames and messages between nodes."""
 
 import math
+import zlib
 
 import hypothesis
 from hypothesis import strategies as st
@@ -122,6 +123,41 @@
         assert codec.decode(_body(message), 100.0) == message
 
 
+def _make_batch(count):
+    return core.ConfigBatch(
+        tuple(
+            core.ConfigRecord(
+                core.ConfigKey(f'servers/i-{number}'),
+                f'{{"backend": "s{number}", "state": "ready", "slots": 2}}',
+                core.Revision(number + 1),
+            )
+            for number in range(count)
+        ),
+        core.Revision(count),
+    )
+
+
+def test_large_batches_of_the_configuration_travel_compressed():
+    """Guards bytes between data centres.
+
+    Announcements were most of what crossed them on a fleet of 89 nodes.
+    """
+    message = messages.Conf(0, _make_batch(600))
+    body = _body(message)
+    assert len(body) < 0.25 * len(repr(message.batch.records))
+    assert len(body) < 12_000
+    assert codec.decode(body, 100.0) == message
+
+
+def test_compressed_bytes_of_a_peer_are_bounded():
+    """Guards memory against a peer that sends a bomb, or half a batch."""
+    fields = msgpack.unpackb(_body(messages.Conf(0, _make_batch(600))))
+    bomb = zlib.compress(msgpack.packb([['k', 'x' * (8 << 20), 1]]))
+    for wrong in (bomb, fields['c'][:-4], b'no deflate'):
+        raw = msgpack.packb(fields | {'c': wrong})
+        assert isinstance(codec.decode(raw, 0.0), messages.Malformed)
+
+
 def test_deadline_travels_as_time_left():
     """Guards against a deadline on the sender's monotonic clock."""
     call = codec.decode(_body(MESSAGES[6], now=100.0), 5000.0)
--- a/citronweir/nodes/_records.py
+++ b/citronweir/nodes/_records.py
@@ -8,9 +8,21 @@
 import functools
 import ipaddress
 import math
+import zlib
+
+import msgpack
 
 from citronweir import core
 
+# Records of the configuration are JSON text with the same names in each,
+# and a change goes to every node: above this size they travel compressed.
+COMPRESSED_BYTES = 512
+COMPRESSION_LEVEL = 1  # the fastest one
+# What a peer may have this node unpack from one frame, bytes.
+UNPACKED_BYTES = 4 << 20
+# Packed batches that are kept, since a watcher sends each to many nodes.
+PACKED_BATCHES = 2
+
 # Enums travel as positions in these tuples. Append only: an older node
 # rejects a position that it does not know.
 RANKS = (core.Rank.URGENT, core.Rank.ORDINARY, core.Rank.DEFERRABLE)
@@ -222,11 +234,6 @@
     raise RecordError('not an outcome')
 
 
-def encode_config(record: core.ConfigRecord) -> list:
-    """Encodes a configuration record."""
-    return [record.key, record.value, record.revision]
-
-
 def decode_config(value: object) -> core.ConfigRecord:
     """Decodes a configuration record; raises RecordError."""
     key, text_value, revision, *_ = items(value)
@@ -237,6 +244,39 @@
     )
 
 
+def pack_configs(config_records: tuple[core.ConfigRecord, ...]) -> object:
+    """Packs configuration records, compressed if that is worth it."""
+    return _pack_configs(
+        tuple((item.key, item.value, item.revision) for item in config_records)
+    )
+
+
+@functools.lru_cache(maxsize=PACKED_BATCHES)
+def _pack_configs(fields):
+    packed = msgpack.packb(fields)
+    if len(packed) < COMPRESSED_BYTES:
+        return fields
+    return zlib.compress(packed, COMPRESSION_LEVEL)
+
+
+def unpack_configs(value: object) -> tuple[core.ConfigRecord, ...]:
+    """Unpacks configuration records; raises RecordError."""
+    if type(value) is bytes:
+        value = _decompress(value)
+    return tuple(map(decode_config, items(value)))
+
+
+def _decompress(value):
+    inflater = zlib.decompressobj()
+    try:
+        packed = inflater.decompress(value, UNPACKED_BYTES)
+    except zlib.error as exc:
+        raise RecordError('not compressed') from exc
+    if not inflater.eof:
+        raise RecordError('compressed bytes without an end')
+    return msgpack.unpackb(packed)
+
+
 def _encode_replica(replica):
     return [
         replica.replica_id,
