--- a/citronweir/service/_attempts.py
+++ b/citronweir/service/_attempts.py
@@ -246,6 +246,8 @@
     chosen = request.peers.choose(run.service, run.tried)
     if chosen is None or chosen[1] >= core.AVOID_PENALTY:
         return
+    if not _is_in_time(request, chosen[1]):
+        return
     kind = core.AttemptKind.HEDGE
     if request.peers.take_extra(run.service, kind):
         request.hedges += 1
@@ -304,13 +306,24 @@
         _end_if_idle(request, group, run)
         return
     if kind is not core.AttemptKind.FIRST:
-        if not request.peers.take_extra(run.service, kind):
+        is_useful = _is_in_time(request, chosen[1])
+        if not (is_useful and request.peers.take_extra(run.service, kind)):
             _end_if_idle(request, group, run)
             return
         request.retries += 1
     _send(request, group, run, chosen, kind)
 
 
+def _is_in_time(request, expected):
+    """Whether another attempt may still be answered by the deadline.
+
+    One that may not would take a token from a request that it could help.
+    """
+    if expected >= core.AVOID_PENALTY:
+        expected -= core.AVOID_PENALTY
+    return request.peers.now() + expected < request.deadline
+
+
 def _send(request, group, run, chosen, kind):
     replica, expected = chosen
     peers, route = request.peers, request.route
--- a/citronweir/service/_requests_test.py
+++ b/citronweir/service/_requests_test.py
@@ -221,6 +221,19 @@
     assert len(tried) == 2
 
 
+@pytest.mark.parametrize('budget, tokens', [(0.025, 0), (0.1, 4)])
+def test_hopeless_attempt_costs_no_token(budget, tokens):
+    """Guards other requests against retries of one without time left.
+
+    A client came back with 10 ms left; each of its 135 shards took the
+    token of a retry that could not be answered any more.
+    """
+    late = core.NotRun(core.NotRunReason.DEADLINE_PASSED)
+    world = World(script={name: [(0.015, late)] for name in SHARDS})
+    _run(world, dataclasses.replace(REQ, budget=budget))
+    assert world.spent.total() == tokens
+
+
 def test_without_tokens_nothing_is_sent_twice():
     """Guards replicas: a failing fleet gets no more than its plain load."""
     world = World(tokens=0, script={name: [(0.01, LOST)] for name in SHARDS})
