--- a/citronweir/programs/_compose_front.py
+++ b/citronweir/programs/_compose_front.py
@@ -102,7 +102,7 @@
     ingress = await platform.start_ingress(
         boot.callers, handle, lambda: _caller_limits(parts), parts.rng
     )
-    config_peers = store.make_config_peers(parts)
+    config_peers = store.make_config_peers(parts, lambda: _keep_up(parts))
     node_server = await nodes.start_server(
         parts.own.address,
         parts.identity,
@@ -164,7 +164,7 @@
         telemetry.Event.NODE_READY, node=parts.boot.node_id, dc=parts.boot.dc
     )
     # Connections are opened before the first requests need them.
-    await _upkeep(parts)
+    _keep_up(parts)
     await asyncio.sleep(WATCH_DELAY)
     await service.run_watch(peers, parts.config)
 
@@ -202,7 +202,16 @@
 
 
 async def _upkeep(parts):
-    """Drops what is gone and keeps a connection to each replica open."""
+    _keep_up(parts)
+
+
+def _keep_up(parts):
+    """Drops what is gone and keeps a connection to each replica open.
+
+    It also runs at once when routes change, since their first requests
+    need the streams and connections, and fill the buckets of their
+    services.
+    """
     now = time.monotonic()
     directory, lanes = parts.catalogue.directory, parts.lanes
     core.expire_entries(directory, now)
--- a/citronweir/programs/_front_nodes.py
+++ b/citronweir/programs/_front_nodes.py
@@ -136,8 +136,12 @@
     parts: parts_.FrontParts, route: core.Route
 ) -> tuple[core.ShardGroup, ...]:
     """Splits the shards of a route among nodes, from a cache."""
-    now = time.monotonic()
     parts.turn = (parts.turn + 1) % PLANS
+    return _find_plan(parts, route)
+
+
+def _find_plan(parts, route):
+    now = time.monotonic()
     key = (route.name, parts.turn)
     cached = parts.plans.get(key)
     if cached is not None and cached[0] is route and now < cached[1]:
@@ -221,7 +225,18 @@
 
 
 def keep_streams(parts: parts_.FrontParts) -> None:
-    """Keeps the streams to the nodes open that are asked for groups."""
+    """Keeps the streams to the nodes open that are asked for groups.
+
+    They are opened before a route's first request: without a stream this
+    node asks each shard itself, over as many new connections.
+    """
+    index = parts.catalogue.index
+    routes = () if index is None else index.table.routes
+    for route in filter(core.is_grouped, routes):
+        _find_plan(parts, route)
+    names = {route.name for route in routes}
+    for key in [key for key in parts.plans if key[0] not in names]:
+        del parts.plans[key]
     for _, _, groups in parts.plans.values():
         for group in groups:
             for node in group.owners:
--- /dev/null
+++ b/citronweir/programs/_front_nodes_test.py
@@ -0,0 +1,83 @@
+"""Tests of the wiring of a front node to the others."""
+
+import types
+
+from citronweir import core
+from citronweir import nodes
+from citronweir.programs import _front_nodes as wiring
+
+DC = core.DataCentre('d1')
+NODES = tuple(
+    core.ListedNode(
+        core.NodeId(f'n{number}'),
+        core.Address('127.0.0.1', 1000 + number),
+        DC,
+        core.Incarnation(1),
+    )
+    for number in range(20)
+)
+
+
+def _make_parts(*routes):
+    table = types.SimpleNamespace(routes=routes)
+    listed = core.NodeList()
+    for node in NODES:
+        core.take_node(listed, core.ConfigKey(node.node_id), node)
+    return types.SimpleNamespace(
+        catalogue=types.SimpleNamespace(
+            index=types.SimpleNamespace(table=table),
+            directory=core.Directory(),
+            nodes=listed,
+        ),
+        own=NODES[0],
+        vantage=core.Vantage(DC, {DC: 'r1'}),
+        links=None,
+        plans={},
+        turn=0,
+    )
+
+
+def _make_route(shards):
+    return core.Route(
+        core.RouteName(f'r{shards}'),
+        'a.example',
+        '/',
+        core.Repeat.IDEMPOTENT,
+        core.Rank.URGENT,
+        0.1,
+        0.4,
+        2,
+        shards=tuple(core.ServiceName(f's{n}') for n in range(shards)),
+        min_coverage=0.9,
+    )
+
+
+def test_streams_to_owners_are_opened_before_the_first_request(monkeypatch):
+    """Guards replicas against a rush of connections after each change.
+
+    Without a stream to the owners each node asked every shard itself.
+    """
+    opened = set()
+    monkeypatch.setattr(
+        nodes, 'keep_open', lambda links, address: opened.add(address)
+    )
+    parts = _make_parts(_make_route(90), _make_route(10))
+    wiring.keep_streams(parts)
+    owners = {
+        node.address
+        for group in wiring.plan_groups(parts, _make_route(90))
+        for node in group.owners
+    }
+    assert owners
+    assert opened == owners
+
+
+def test_plans_of_removed_routes_are_dropped(monkeypatch):
+    """Guards memory and streams against routes that are long gone."""
+    monkeypatch.setattr(nodes, 'keep_open', lambda links, address: None)
+    parts = _make_parts(_make_route(90))
+    wiring.keep_streams(parts)
+    assert parts.plans
+    parts.catalogue.index.table.routes = ()
+    wiring.keep_streams(parts)
+    assert not parts.plans
--- a/citronweir/programs/_front_store.py
+++ b/citronweir/programs/_front_store.py
@@ -1,6 +1,7 @@
 """Wires the configuration of a front node to the platform's store."""
 
 import asyncio
+from collections import abc
 import dataclasses
 import time
 
@@ -10,7 +11,6 @@
 from citronweir import telemetry
 from citronweir.programs import _front_nodes as nodes
 from citronweir.programs import _front_parts as parts_
-from citronweir.programs import _front_requests as requests
 
 # A watch ends after this time without a change. A connection that went
 # silent must not hide a change for longer than the 3 s within which a
@@ -25,8 +25,15 @@
 MAX_DOUBLINGS = 8
 
 
-def make_config_peers(parts: parts_.FrontParts) -> service.ConfigPeers:
-    """Builds what the flows of the configuration need from outside."""
+def make_config_peers(
+    parts: parts_.FrontParts, on_routes: abc.Callable[[], None]
+) -> service.ConfigPeers:
+    """Builds what the flows of the configuration need from outside.
+
+    Args:
+        parts: State of the node.
+        on_routes: Called when other routes are in force.
+    """
 
     async def read_all():
         reply = await platform.read_all(parts.session, parts.boot.store)
@@ -40,8 +47,7 @@
             parts.catalogue, parts.config.state, fresh, time.monotonic()
         )
         if any(isinstance(item.body, core.RouteTable) for item in fresh):
-            # The first requests of a new service fill its bucket.
-            requests.note_owned(parts)
+            on_routes()
 
     def is_watcher():
         age = service.config_age(peers, parts.config)
