--- a/bench/_measure_search.py
+++ b/bench/_measure_search.py
@@ -231,6 +231,7 @@
         check_crash=check_crash,
         spread=lambda records: None,
         note_draining=lambda replica_id: None,
+        note_queue_delay=lambda rank, seconds: None,
     )
     owner = service.Owner(SHARES, 256, core.SuspectTable())
     sub = fleet_data.make_sub(replica.holdings[0].key_range, 600.0)
