--- a/citronweir/service/_attempts.py
+++ b/citronweir/service/_attempts.py
@@ -186,6 +186,8 @@
         due: Monotonic second at which a sufficient answer goes out.
         deadline: Monotonic second by which the answer is due.
         done: Set when the answer can be made.
+        min_parts: Shards below which it waits while they may come, also
+            where fewer make an answer.
         is_due: Whether the time of ``due`` has come.
         is_open: Whether outcomes still count.
         handles: What was sent, to be ended when the caller leaves.
@@ -202,6 +204,7 @@
     done: asyncio.Future
     groups: list[Group]
     judge: abc.Callable[['Request'], None]
+    min_parts: int = 0
     is_due: bool = False
     is_open: bool = True
     timers: list[asyncio.TimerHandle] = dataclasses.field(default_factory=list)
--- a/citronweir/service/_requests.py
+++ b/citronweir/service/_requests.py
@@ -75,15 +75,20 @@
 
     Returns:
         What is in of the group at its due time: whether it is enough
-        depends on the other groups. Declined if this node has another
-        version.
+        depends on the other groups. It comes later while this group alone
+        lacks too many shards for an answer. Declined if this node has
+        another version.
     """
     started = peers.now()
     index = peers.find_index()
-    route = _find_group_route(index, query)
-    if route is None:
+    whole = _find_group_route(index, query)
+    if whole is None:
         reason = core.NotRunReason.NO_CONFIGURATION
         return core.GroupAnswer(core.Declined(reason, 0.0), 0.0)
+    shards = tuple(whole.shards[place] for place in query.places)
+    # One part is worth sending: the other node sums them up.
+    route = dataclasses.replace(whole, shards=shards, min_coverage=0.0)
+    most_missing = len(whole.shards) - core.min_parts(whole)
     places = tuple(range(len(route.shards)))
     request = attempts.Request(
         peers,
@@ -96,6 +101,7 @@
         asyncio.get_running_loop().create_future(),
         [attempts.Group(places, route.shards)],
         _judge,
+        min_parts=max(1, len(shards) - most_missing),
     )
     outcome = await _run(request)
     _report(peers, query.req, route, outcome, started, request, is_group=True)
@@ -114,9 +120,7 @@
         if route.name == query.route and route.shards:
             if max(query.places, default=0) >= len(route.shards):
                 return None
-            shards = tuple(route.shards[place] for place in query.places)
-            # One part is worth sending: the other node sums them up.
-            return dataclasses.replace(route, shards=shards, min_coverage=0.0)
+            return route
     return None
 
 
@@ -200,6 +204,8 @@
         verdict = core.judge_parts(
             request.route, parts, reachable - parts, request.is_due
         )
+        if parts < request.min_parts <= reachable:
+            verdict = core.Verdict.WAIT
         if verdict is core.Verdict.GIVE_UP and groups.ask_absent(request):
             return
         is_over = verdict is not core.Verdict.WAIT
--- a/citronweir/service/_requests_test.py
+++ b/citronweir/service/_requests_test.py
@@ -413,6 +413,26 @@
     assert answer.seconds == pytest.approx(0.05)
 
 
+@pytest.mark.parametrize('delay, parts', [(0.2, 2), (None, 1)])
+def test_group_that_lacks_too_much_alone_answers_later(delay, parts):
+    """Guards callers against an error where a late answer can be had.
+
+    Three of four shards make an answer, so a group that lacks two cannot
+    be part of one. A node answered without them at its due time, and the
+    request failed with most of its time left.
+    """
+    slow = {'s2': [(delay, _reply())], 's3': [(None, _reply())]}
+    world = World(script=slow, tokens=0)
+    query = core.GroupQuery(1, GATHER.name, (1, 2, 3), REQ, 0.05, 0.4)
+
+    async def main():
+        return await service.run_group(_make_peers(world), query)
+
+    answer = virtual.run(main)
+    assert len(answer.outcome.signatures) == parts
+    assert answer.seconds == pytest.approx(delay or 0.4)
+
+
 def test_group_query_of_another_version_is_declined():
     """Guards G1: all parts come from one version of the configuration."""
     world = World(version=2)
