--- a/citronweir/core/_extra_load.py
+++ b/citronweir/core/_extra_load.py
@@ -5,7 +5,9 @@
 that the nodes need not speak to each other to keep it.
 """
 
+from collections import abc
 import dataclasses
+import math
 
 from citronweir.core import _data as data
 
@@ -35,9 +37,8 @@
         owners: Nodes that ask each grouped service for all others.
         grouped: Services that owners ask.
         owned: Those of them that this node owns.
-        first_share: Part of a full bucket that a service has at its first
-            request. One that is new to a node which has run for a whole
-            window has no predecessor that spent from its bucket.
+        seen_at: Monotonic second at which each service was last part of
+            a route.
         tokens: What each service's bucket holds.
     """
 
@@ -47,16 +48,49 @@
     owners: int = 1
     grouped: frozenset[data.ServiceName] = frozenset()
     owned: frozenset[data.ServiceName] = frozenset()
-    first_share: float = START_SHARE
+    seen_at: dict[data.ServiceName, float] = dataclasses.field(
+        default_factory=dict
+    )
     tokens: dict[data.ServiceName, float] = dataclasses.field(
         default_factory=dict
     )
 
 
+def note_services(
+    extra: ExtraLoad,
+    names: abc.Iterable[data.ServiceName],
+    age: float,
+    window: float,
+    now: float,
+) -> None:
+    """Notes the services of all routes and fills the buckets of new ones.
+
+    Nobody has spent from the bucket of a service that is new to the routes.
+    One that this node only asks as a new owner starts like a restarted
+    node: the owner before it may have spent a full bucket.
+
+    Args:
+        extra: State of the bound.
+        names: Services of all routes.
+        age: Seconds since this node started.
+        window: Seconds in which the bound holds.
+        now: Monotonic clock, seconds.
+    """
+    for name in names:
+        seen_at = extra.seen_at.get(name, -math.inf)
+        if now - seen_at > window and age >= window:
+            extra.tokens[name] = bucket_size(extra, name)
+        extra.seen_at[name] = now
+    for name, seen_at in list(extra.seen_at.items()):
+        if now - seen_at > window:
+            del extra.seen_at[name]
+            extra.tokens.pop(name, None)
+
+
 def note_request(extra: ExtraLoad, service: data.ServiceName) -> None:
     """Earns the share of one request of a caller."""
     limit = bucket_size(extra, service)
-    tokens = extra.tokens.get(service, limit * extra.first_share)
+    tokens = extra.tokens.get(service, limit * START_SHARE)
     tokens += extra.ratio * USED_SHARE
     extra.tokens[service] = min(limit, tokens)
 
@@ -80,7 +114,7 @@
 ) -> bool:
     """Takes the token of a hedge or retry; returns whether there was one."""
     limit = bucket_size(extra, service)
-    tokens = extra.tokens.get(service, limit * extra.first_share)
+    tokens = extra.tokens.get(service, limit * START_SHARE)
     reserve = 0.0
     if kind is data.AttemptKind.HEDGE:
         reserve = min(RETRY_TOKENS, RETRY_RESERVE * limit)
--- a/citronweir/core/_extra_load_test.py
+++ b/citronweir/core/_extra_load_test.py
@@ -98,9 +98,36 @@
     assert core.take_extra(extra, SERVICE, core.AttemptKind.HEDGE)
 
 
-def test_service_that_is_new_to_a_running_node_has_a_full_bucket():
+def _note(extra, age, now):
+    core.note_services(extra, [SERVICE], age, WINDOW, now)
+    core.note_request(extra, SERVICE)
+    return extra.tokens[SERVICE]
+
+
+def test_service_that_is_new_to_the_routes_has_a_full_bucket():
     """Guards routes that move to new services against a second start."""
     extra = core.ExtraLoad(RATIO, SLACK, 2)
-    extra.first_share = 1.0
-    core.note_request(extra, SERVICE)
-    assert extra.tokens[SERVICE] == core.bucket_size(extra, SERVICE)
+    assert _note(extra, 60.0, 100.0) == core.bucket_size(extra, SERVICE)
+
+
+def test_starting_node_and_new_owner_do_not_have_full_buckets():
+    """Guards replicas against the buckets of lost nodes and their heirs."""
+    extra = core.ExtraLoad(RATIO, SLACK, 2)
+    assert _note(extra, 1.0, 100.0) < 0.3 * core.bucket_size(extra, SERVICE)
+    heir = core.ExtraLoad(RATIO, 200.0, 90, 9, {SERVICE})
+    _note(heir, 60.0, 100.0)
+    heir.owned = {SERVICE}
+    assert _note(heir, 60.2, 100.2) < 0.3 * core.bucket_size(heir, SERVICE)
+
+
+def test_service_that_returns_within_a_window_is_not_new():
+    """Guards the bound against routes that change to and fro."""
+    extra = core.ExtraLoad(RATIO, SLACK, 2)
+    _note(extra, 60.0, 100.0)
+    while core.take_extra(extra, SERVICE, core.AttemptKind.RETRY):
+        pass
+    core.note_services(extra, [], 65.0, WINDOW, 105.0)
+    assert _note(extra, 69.0, 109.0) < 2.0
+    core.note_services(extra, [], 85.0, WINDOW, 125.0)
+    assert not extra.seen_at
+    assert not extra.tokens
--- a/citronweir/programs/_compose_front.py
+++ b/citronweir/programs/_compose_front.py
@@ -223,8 +223,6 @@
         now - parts.started,
         now,
     )
-    if now - parts.started >= parts.boot.extra_window:
-        parts.extra.first_share = 1.0
     wiring.keep_streams(parts)
     upstreams.keep_only(lanes, directory.replicas)
     for replica_id in parts.loads.keys() - directory.replicas.keys():
--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -99,6 +99,14 @@
             route, list_usable, listed, parts.own.node_id, parts.vantage
         )
     )
+    now = time.monotonic()
+    core.note_services(
+        extra,
+        core.list_services(parts.catalogue.index.table),
+        now - parts.started,
+        parts.boot.extra_window,
+        now,
+    )
 
 
 def conn_limit(parts: parts_.FrontParts, name: core.ServiceName) -> int:
