--- a/bench/_soak_checks.py
+++ b/bench/_soak_checks.py
@@ -9,6 +9,7 @@
 import dataclasses
 import enum
 
+from fakes import front_fleet as fleets
 from fakes import platform_replica as replicas
 
 # A draining replica gets no new request after this time, and a change is
@@ -241,15 +242,13 @@
 
 
 def _find_fault(reply, records, services):
-    signatures = reply.headers.get('X-Part-Stamps', '').split(', ')
-    parts = [signature.rpartition('.') for signature in signatures]
-    if any(part[2] != reply.request_id for part in parts):
-        return f'signature of another request: {signatures}'
-    ids = [part[0] for part in parts]
+    parts, missing = fleets.read_parts(reply.headers)
+    if any(request_id != reply.request_id for _, request_id in parts):
+        return f'signature of another request: {parts}'
+    ids = [replica_id for replica_id, _ in parts]
     named = [services.get(replica_id) for replica_id in ids]
     if None in named or len(set(named)) < len(named):
         return f'parts of {ids}'
-    missing = int(reply.headers.get('X-Parts-Missing', '-1'))
     if len(named) + missing != len(set(services.values())):
         return f'{len(named)} parts and {missing} missing'
     if reply.body != b''.join(
--- a/bench/front_slopes.py
+++ b/bench/front_slopes.py
@@ -9,6 +9,7 @@
 import time
 
 from citronweir import core
+from fakes import routes
 
 ROUNDS = 5
 SECONDS = 0.05  # of processor time for each round
@@ -29,21 +30,6 @@
     return statistics.median(values) * 1e6
 
 
-def _route(count):
-    return core.Route(
-        core.RouteName('r'),
-        'a.example',
-        '/',
-        core.Repeat.IDEMPOTENT,
-        core.Rank.URGENT,
-        0.1,
-        0.4,
-        2,
-        shards=tuple(core.ServiceName(f's{n}') for n in range(count)),
-        top_k=50,
-    )
-
-
 def _replica(name, dc):
     return core.ListedReplica(
         core.ReplicaId(f'{name}-{dc}'),
@@ -79,7 +65,7 @@
 
 
 def _make_merge(count):
-    route = _route(count)
+    route = routes.make_gather_route(count, top_k=50)
     replies = [
         core.Reply(200, (), bytes([number % 256]) * 1000, f'sig{number}')
         for number in range(count)
@@ -88,7 +74,7 @@
 
 
 def _make_plan(count):
-    route, nodes = _route(490), _nodes(count)
+    route, nodes = routes.make_gather_route(490), _nodes(count)
     replicas = {
         name: tuple(_replica(name, dc) for dc in list(REGIONS)[:3])
         for name in route.shards
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -128,24 +128,11 @@
         status, headers, body = await fleets.ask(
             fleet, name, path, request_id, session, method=method
         )
+        seen = {'status': status, 'headers': headers, 'body': body}
     except (aiohttp.ClientError, TimeoutError) as exc:
-        return checks.Reply(
-            kind,
-            request_id,
-            name,
-            sent_at,
-            time.monotonic(),
-            error=type(exc).__name__,
-        )
+        seen = {'error': type(exc).__name__}
     return checks.Reply(
-        kind,
-        request_id,
-        name,
-        sent_at,
-        time.monotonic(),
-        status,
-        headers,
-        body,
+        kind, request_id, name, sent_at, time.monotonic(), **seen
     )
 
 
--- a/citronweir/core/_grouping_test.py
+++ b/citronweir/core/_grouping_test.py
@@ -7,6 +7,7 @@
 
 from citronweir import core
 from citronweir.core import _grouping as grouping
+from fakes import routes
 
 REGIONS = {
     core.DataCentre(f'd{number}'): f'r{number % 3}' for number in range(6)
@@ -24,21 +25,6 @@
 )
 
 
-def _route(count):
-    return core.Route(
-        core.RouteName('r'),
-        'a.example',
-        '/',
-        core.Repeat.IDEMPOTENT,
-        core.Rank.URGENT,
-        0.1,
-        0.4,
-        2,
-        shards=tuple(core.ServiceName(f's{n}') for n in range(count)),
-        min_coverage=0.9,
-    )
-
-
 def _list_usable(holders):
     def list_usable(name):
         return tuple(
@@ -57,7 +43,7 @@
 
 def _plan(holders, count, nodes=NODES, turn=0):
     return core.plan_groups(
-        _route(count),
+        routes.make_gather_route(count),
         _list_usable(holders),
         nodes,
         NODES[0].node_id,
@@ -102,7 +88,7 @@
         REGIONS[node.dc] == 'r0' for item in asked for node in item.owners
     )
     owned = core.list_owned(
-        _route(490),
+        routes.make_gather_route(490),
         _list_usable(holders),
         NODES,
         NODES[0].node_id,
--- a/citronweir/programs/_front_nodes_test.py
+++ b/citronweir/programs/_front_nodes_test.py
@@ -5,6 +5,7 @@
 from citronweir import core
 from citronweir import nodes
 from citronweir.programs import _front_nodes as wiring
+from fakes import routes
 
 DC = core.DataCentre('d1')
 NODES = tuple(
@@ -37,21 +38,6 @@
     )
 
 
-def _make_route(shards):
-    return core.Route(
-        core.RouteName(f'r{shards}'),
-        'a.example',
-        '/',
-        core.Repeat.IDEMPOTENT,
-        core.Rank.URGENT,
-        0.1,
-        0.4,
-        2,
-        shards=tuple(core.ServiceName(f's{n}') for n in range(shards)),
-        min_coverage=0.9,
-    )
-
-
 def test_streams_to_owners_are_opened_before_the_first_request(monkeypatch):
     """Guards replicas against a rush of connections after each change.
 
@@ -61,11 +47,13 @@
     monkeypatch.setattr(
         nodes, 'keep_open', lambda links, address: opened.add(address)
     )
-    parts = _make_parts(_make_route(90), _make_route(10))
+    parts = _make_parts(
+        routes.make_gather_route(90), routes.make_gather_route(10)
+    )
     wiring.keep_streams(parts)
     owners = {
         node.address
-        for group in wiring.plan_groups(parts, _make_route(90))
+        for group in wiring.plan_groups(parts, routes.make_gather_route(90))
         for node in group.owners
     }
     assert owners
@@ -75,7 +63,7 @@
 def test_plans_of_removed_routes_are_dropped(monkeypatch):
     """Guards memory and streams against routes that are long gone."""
     monkeypatch.setattr(nodes, 'keep_open', lambda links, address: None)
-    parts = _make_parts(_make_route(90))
+    parts = _make_parts(routes.make_gather_route(90))
     wiring.keep_streams(parts)
     assert parts.plans
     parts.catalogue.index.table.routes = ()
--- a/fakes/front_fleet.py
+++ b/fakes/front_fleet.py
@@ -248,6 +248,21 @@
         return resp.status, resp.headers, await resp.read()
 
 
+def read_parts(
+    headers: abc.Mapping[str, str],
+) -> tuple[list[tuple[str, str]], int]:
+    """Reads which parts an answer says to hold.
+
+    Returns:
+        Replica and request id of each signature, and the number of parts
+        that are missing, -1 without one.
+    """
+    text = headers.get('X-Part-Stamps', '')
+    parts = [item.rpartition('.') for item in text.split(', ')]
+    missing = int(headers.get('X-Parts-Missing', '-1'))
+    return [(part[0], part[2]) for part in parts], missing
+
+
 @contextlib.asynccontextmanager
 async def run(
     folder: pathlib.Path,
