--- a/bench/_soak_faults.py
+++ b/bench/_soak_faults.py
@@ -24,9 +24,9 @@
 REPLICA_FAULTS = tuple(replicas.Fault)[1:]
 MAX_ACTIVE = 3  # faults at the same time
 MAX_GAP = 0.8  # seconds between the starts of two faults
-# A stopping node ends within its time between SIGTERM and SIGKILL, which
-# is grace_s of the users' sites.
-GRACE = 6.0  # seconds
+# A stopping node ends within its time between SIGTERM and SIGKILL.
+GRACE = 2.0  # seconds
+EXIT_SLACK = 1.0  # seconds; a busy machine starts and ends late
 
 
 @dataclasses.dataclass(slots=True)
@@ -139,7 +139,7 @@
                 proc.send_signal(signal.SIGHUP)
             proc.send_signal(signal.SIGTERM)
             try:
-                async with asyncio.timeout(GRACE):
+                async with asyncio.timeout(GRACE + EXIT_SLACK):
                     status = await proc.wait()
             except TimeoutError:
                 state = _read_state(proc.pid)
--- a/bench/soak_test.py
+++ b/bench/soak_test.py
@@ -11,6 +11,9 @@
     2,
     127,  # two drains of one replica overlapped, a fault of the soak
 )
+# A node had not ended 3 s after SIGTERM; the cause is not known.
+OPEN_SEEDS = (324, 350)
+LONG_SECONDS = 14.0  # for which faults were injected when they failed
 
 
 @pytest.mark.parametrize('seed', SEEDS)
@@ -19,3 +22,10 @@
     result = await soak.run_seed(seed, SECONDS, tmp_path)
     assert not result.errors, result.errors
     assert result.outcomes['200'] > 100
+
+
+@pytest.mark.parametrize('seed', OPEN_SEEDS)
+async def test_stopping_node_ends_in_its_time(seed, tmp_path):
+    """Guards G7: a node that is killed at the end of its time loses work."""
+    result = await soak.run_seed(seed, LONG_SECONDS, tmp_path)
+    assert not result.errors, result.errors
