Bound the latest hedge by the deadline as well

Cause: hedge_delay capped the delay at half of the time until the answer is due. Where a route's time-out is shorter than its target, half of the target can lie beyond the deadline; with slow known latencies a hanging replica was then never hedged. Found by reading.

--- a/citronweir/service/_attempts.py
+++ b/citronweir/service/_attempts.py
@@ -19,8 +19,8 @@
 # the expected seconds.
 HEDGE_START_FACTOR = 3.0
 HEDGE_MIN_DELAY = 0.008  # seconds
-# A hedge later than this share of the time until the answer is due could
-# not be in time itself.
+# A hedge later than this share of the time until the answer is due, or
+# until the deadline, could not be in time itself.
 HEDGE_LATEST_SHARE = 0.5
 
 # Refusals of this node alone: nothing arrived at the replica, so that
@@ -268,10 +268,15 @@
         window: Latencies of like answers, or None before the first.
         expected: Seconds that the answer is expected to take.
     """
+    unexplained = HEDGE_START_FACTOR * expected
     delay = None if window is None else window.delay
     if delay is None:
-        delay = HEDGE_START_FACTOR * expected
-    latest = HEDGE_LATEST_SHARE * (request.due - request.started)
+        delay = unexplained
+    due = HEDGE_LATEST_SHARE * (request.due - request.started)
+    # Near the deadline a hedge is of use only for an answer that hangs;
+    # others may still come, and would take tokens without need.
+    left = HEDGE_LATEST_SHARE * (request.deadline - request.started)
+    latest = min(due, max(left, unexplained))
     return max(HEDGE_MIN_DELAY, min(delay, latest))
 
 
--- a/citronweir/service/_requests_test.py
+++ b/citronweir/service/_requests_test.py
@@ -40,6 +40,8 @@
 )
 ORDER = dataclasses.replace(PLAIN, repeat=core.Repeat.NON_IDEMPOTENT)
 SHED = core.NotRun(core.NotRunReason.SHED)
+# Answers after which the delay of a window is known.
+WINDOW_ANSWERS = 500
 LOST = core.Lost(core.UnknownReason.REPLY_LOST)
 
 
@@ -58,6 +60,8 @@
         tokens: Extra requests that each service may get.
         groups: Split of the shards among nodes.
         answer: Delay and answer of the other node.
+        expected: Seconds that each answer is expected to take.
+        windows: Latencies that are known before.
     """
 
     route: core.Route = GATHER
@@ -67,6 +71,8 @@
     groups: tuple = (core.ShardGroup((0, 1, 2, 3)),)
     answer: tuple = (0.01, None)
     version: int = 1
+    expected: float = 0.01
+    windows: dict = dataclasses.field(default_factory=dict)
     sends: list = dataclasses.field(default_factory=list)
     earned: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
@@ -101,7 +107,7 @@
     def choose(name, tried):
         for replica in list_usable(name):
             if replica.replica_id not in tried:
-                return replica, 0.01
+                return replica, world.expected
         return None
 
     def send(req, replica, route, deadline, take):
@@ -142,7 +148,7 @@
         ask_group=ask_group,
         list_far=lambda node, name: frozenset({f'{name}-0'}),
         round_trip=lambda node: 0.016,
-        windows={},
+        windows=world.windows,
         group_windows={},
         record=world.reports.append,
     )
@@ -174,6 +180,28 @@
     assert world.spent == {'s1': 1}
 
 
+def _make_window(seconds):
+    """Builds the window of a route whose answers all took so long."""
+    window = core.make_window(0.0)
+    for number in range(WINDOW_ANSWERS):
+        core.note_window(window, seconds, number * 0.01)
+    return window
+
+
+def test_hanging_replica_is_hedged_where_the_deadline_precedes_the_target():
+    """Guards against a hedge that is planned for after the deadline."""
+    route = dataclasses.replace(PLAIN, target=1.0, timeout=0.4)
+    world = World(
+        route=route,
+        script={'s0': [(None, None), (0.05, _reply())]},
+        expected=0.05,
+        windows={(route.name, core.DataCentre('here')): _make_window(0.6)},
+    )
+    outcome, seconds = _run(world)
+    assert isinstance(outcome, core.Forwarded)
+    assert seconds < route.timeout
+
+
 def test_answer_goes_out_at_the_target_without_the_last_shard():
     """Guards worth: late and whole is worth less than in time and nearly."""
     outcome, seconds = _run(World(script={'s1': [(0.3, _reply())]}))
