Bound the end of the listeners for readiness and metrics

Cause: aiohttp waits up to 60 s for a handler and 10 s for the rest of a request body when a runner is cleaned up, which is longer than the time a node has to stop. The listener of callers had a bound, the two for short texts had none. Found by reading.

Change: END_TIME of 0.2 s for both.

--- a/citronweir/listeners/_text.py
+++ b/citronweir/listeners/_text.py
@@ -6,6 +6,10 @@
 
 from citronweir import core
 
+# Seconds that a reader of a text may take once the listener closes; the
+# time in which a node has to stop is a few seconds.
+END_TIME = 0.2
+
 Answer = abc.Callable[[], tuple[int, bytes]]
 
 
@@ -32,7 +36,8 @@
         status, body = make()
         return web.Response(status=status, body=body)
 
-    runner = web.ServerRunner(web.Server(answer, access_log=None))
+    server = web.Server(answer, access_log=None)
+    runner = web.ServerRunner(server, shutdown_timeout=END_TIME)
     await runner.setup()
     await web.TCPSite(runner, address.host, address.port).start()
     return runner
