--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -71,7 +71,7 @@
         round_trip=lambda node: nodes.round_trip(parts, node),
         windows=parts.windows,
         group_windows=parts.group_windows,
-        record=_make_record(parts),
+        record=make_record(parts),
     )
 
 
@@ -218,7 +218,7 @@
         )
 
 
-def _make_record(parts):
+def make_record(parts):
     def record(report):
         event = _choose_event(report)
         _count(parts, report, event)
@@ -274,6 +274,8 @@
         'version': index.table.version if index else 0,
         'ms': round(report.seconds * 1000, 1),
         'target': round(route.target * 1000) if route else 0,
+        'attempts': route.max_attempts if route else 0,
+        'repeat': route.repeat.value if route else '',
         'reason': reason.value if reason else '',
         'parts': report.parts,
         'services': report.services,
