Form groups of shards within one data centre

Cause: where a region has two data centres, a group held shards of both and was asked by a node of either, so that half of all parts crossed between the two.

Change: a shard belongs to the data centre that holds it, by its place where several do; a group has shards and owners of one data centre. What is left of another region is joined into one group. Shards without any replica are in no group of another node.

Ruled out: bytes of pings, handshakes and anti-entropy, 2 MB together.

The test of steady owners now holds its replicas beside the asking node's data centre: in the own one, three of five nodes own each group, and by the new names this node was among them each time, so nothing was left to compare.

--- a/citronweir/core/_grouping.py
+++ b/citronweir/core/_grouping.py
@@ -4,9 +4,10 @@
 of another region, which merges the parts there, so that few bytes cross.
 Many shards are split among nodes of the region as well: the processor
 time of one node for hundreds of sub-requests would be the latency, and
-a replica accepts fewer connections than there are nodes. These nodes stand
-in the data centres of the replicas, so that only merged answers leave them.
-Who asks which shards is steady, since each change opens connections anew.
+a replica accepts fewer connections than there are nodes. Each group stands
+in one data centre, with the replicas and the nodes that ask them, so that
+only merged answers leave it. Who asks which shards is steady, since each
+change opens connections anew.
 """
 
 from collections import abc
@@ -56,21 +57,16 @@
     by_id = {node.node_id: node for node in nodes}
     groups, local = [], []
     for region, places in by_region.items():
-        if is_grouped(route):
-            places_near = range(len(route.shards))
-        else:
-            places_near = places
-        peers = _list_asking(
-            route, places_near, list_usable, by_id.values(), region, vantage
-        )
-        for number, chunk in _chunk(route, places):
-            if len(chunk) < MIN_REMOTE or (
-                region == own and not is_grouped(route)
-            ):
-                local += chunk
-                continue
-            ranked = rank_owners(route, region, number, peers)
-            if not ranked or own_id in ranked:
+        if region == own and not is_grouped(route):
+            local += places
+            continue
+        held = _split_by_dc(route, places, list_usable, region, vantage)
+        # Without a replica there is nobody to ask for another node.
+        local += set(places).difference(*held.values())
+        for dc, number, chunk in _join_small(held, route, region == own):
+            peers = _list_asking(dc, held, by_id.values(), region, vantage)
+            ranked = rank_owners(route, dc, number, peers)
+            if len(chunk) < MIN_REMOTE or not ranked or own_id in ranked:
                 local += chunk
                 continue
             owners = tuple(by_id[node_id] for node_id in ranked)
@@ -82,19 +78,19 @@
 
 def rank_owners(
     route: data.Route,
-    region: str,
+    dc: data.DataCentre,
     number: int,
     node_ids: abc.Iterable[data.NodeId],
 ) -> list[data.NodeId]:
-    """Ranks the nodes of a region that may ask a group of shards.
+    """Ranks the nodes that may ask a group of shards.
 
     Args:
         route: Route with shards.
-        region: Region of the nodes and of the replicas to ask.
+        dc: Data centre of the replicas to ask.
         number: Number of the group.
-        node_ids: Nodes of the region.
+        node_ids: Nodes to choose from.
     """
-    name = f'{route.shards[0]}/{region}/{number}'
+    name = f'{route.shards[0]}/{dc}/{number}'
     return routing.rank_nodes(node_ids, name)[:OWNERS]
 
 
@@ -113,13 +109,13 @@
     """Lists the shards of a route that this node asks for its region."""
     region = vantage.regions.get(vantage.dc, '')
     places = range(len(route.shards))
-    peers = _list_asking(route, places, list_usable, nodes, region, vantage)
-    return [
-        place
-        for number, chunk in _chunk(route, range(len(route.shards)))
-        if own_id in rank_owners(route, region, number, peers)
-        for place in chunk
-    ]
+    held = _split_by_dc(route, places, list_usable, region, vantage)
+    owned = []
+    for dc, number, chunk in _chunk(held, route):
+        peers = _list_asking(dc, held, nodes, region, vantage)
+        if own_id in rank_owners(route, dc, number, peers):
+            owned += chunk
+    return owned
 
 
 def _split_by_region(route, list_usable, vantage, own, turn):
@@ -156,33 +152,66 @@
     return alike[place:] + alike[:place] + ranked[len(alike) :]
 
 
-def _list_asking(route, places, list_usable, nodes, region, vantage):
-    """Lists the nodes of a region that stand beside replicas of shards.
+def _split_by_dc(route, places, list_usable, region, vantage):
+    """Finds the data centre of each shard that a region holds.
 
-    A node in another data centre of the region would have each part sent
-    to it over the link between the two. Without a node beside them any
-    node of the region is as good.
+    Where several hold a shard, its place decides, which is the same for
+    all nodes and does not follow what other shards do.
+    """
+    held = {}
+    for place in places:
+        dcs = sorted(
+            {
+                replica.dc
+                for replica in list_usable(route.shards[place])
+                if vantage.regions.get(replica.dc, '') == region
+            }
+        )
+        if dcs:
+            held.setdefault(dcs[place % len(dcs)], []).append(place)
+    return held
+
+
+def _list_asking(dc, held, nodes, region, vantage):
+    """Lists the nodes of a data centre, or else those nearest to it.
+
+    Beside no replica at all, any node of the region is as good.
     """
-    held = {
-        replica.dc
-        for place in places
-        for replica in list_usable(route.shards[place])
-    }
     inside = [
         node for node in nodes if vantage.regions.get(node.dc, '') == region
     ]
+    there = [node for node in inside if node.dc == dc]
     beside = [node for node in inside if node.dc in held]
-    return [node.node_id for node in beside or inside]
+    return [node.node_id for node in there or beside or inside]
+
+
+def _join_small(held, route, is_near):
+    """Joins what is left over of another region into one group.
+
+    Each shard asked over the distance between regions costs its whole
+    reply, while the data centres of one region are near to each other.
+    """
+    chunks = list(_chunk(held, route))
+    if is_near:
+        return chunks
+    small = [item for item in chunks if len(item[2]) < MIN_REMOTE]
+    if len(small) < 2:
+        return chunks
+    dc, number, _ = small[0]
+    joined = sorted(place for _, _, chunk in small for place in chunk)
+    kept = [item for item in chunks if len(item[2]) >= MIN_REMOTE]
+    return [*kept, (dc, number, tuple(joined))]
 
 
-def _chunk(route, places):
-    """Splits places into numbered groups.
+def _chunk(held, route):
+    """Splits places into numbered groups of each data centre.
 
     The number of a shard follows from its place alone, so that the loss
     of some replicas does not move the other shards to other nodes.
     """
     count = -(-len(route.shards) // MAX_SHARDS)
-    for number in range(count):
-        chunk = tuple(place for place in places if place % count == number)
-        if chunk:
-            yield number, chunk
+    for dc, places in sorted(held.items()):
+        for number in range(count):
+            chunk = tuple(place for place in places if place % count == number)
+            if chunk:
+                yield dc, number, chunk
--- a/citronweir/core/_grouping_test.py
+++ b/citronweir/core/_grouping_test.py
@@ -108,9 +108,37 @@
     assert {node.dc for item in groups for node in item.owners} == {'d0'}
 
 
+def test_groups_stand_in_one_data_centre_each():
+    """Guards bytes between data centres against parts that cross.
+
+    Replicas of two data centres of a region were split into groups that
+    held both, so that half of all parts crossed between the two.
+    """
+    holders = {f's{n}': ['d3' if n % 2 else 'd0', 'd1'] for n in range(90)}
+    groups = _plan(holders, 90)
+    assert sum(len(group.places) for group in groups) == 90
+    for group in groups:
+        held = {holders[f's{place}'][0] for place in group.places}
+        dcs = {node.dc for node in group.owners} or {'d0'}
+        assert len(held) == 1
+        assert held == dcs
+
+
+def test_remains_of_another_region_are_asked_together():
+    """Guards bytes between regions against single shards asked from here."""
+    holders = {f's{n}': ['d0'] for n in range(90)}
+    lost = range(0, 90, 20)
+    for number, place in enumerate(lost):
+        holders[f's{place}'] = ['d4' if number % 2 else 'd1']
+    groups = _plan(holders, 90)
+    far = [group for group in groups if set(group.places) & set(lost)]
+    assert [group.places for group in far] == [tuple(lost)]
+    assert {REGIONS[node.dc] for node in far[0].owners} == {'r1'}
+
+
 def test_owners_are_steady_while_other_nodes_come_and_go():
     """Guards replicas against new connections after each change."""
-    holders = {f's{n}': ['d0'] for n in range(90)}
+    holders = {f's{n}': ['d3'] for n in range(90)}
     before = _plan(holders, 90)
     lost = before[0].owners[0]
     after = _plan(holders, 90, tuple(node for node in NODES if node != lost))
--- a/citronweir/programs/_front_nodes_test.py
+++ b/citronweir/programs/_front_nodes_test.py
@@ -24,10 +24,20 @@
     listed = core.NodeList()
     for node in NODES:
         core.take_node(listed, core.ConfigKey(node.node_id), node)
+    directory = core.Directory()
+    for name in {name for route in routes for name in route.shards}:
+        replica = core.ListedReplica(
+            core.ReplicaId(f'{name}-a'),
+            name,
+            core.Address('127.0.0.1', 1),
+            DC,
+            core.ListedState.READY,
+        )
+        core.take_entry(directory, replica)
     return types.SimpleNamespace(
         catalogue=types.SimpleNamespace(
             index=types.SimpleNamespace(table=table),
-            directory=core.Directory(),
+            directory=directory,
             nodes=listed,
         ),
         own=NODES[0],
