Relay announcements by data centre

Change: one relay in each other data centre of the region, as there is one for each other region; list_next says to whom a node passes on. No node is more than three hops away, and each hears a batch once.

--- a/citronweir/core/__init__.py
+++ b/citronweir/core/__init__.py
@@ -85,6 +85,7 @@
 from citronweir.core._node_list import is_watcher
 from citronweir.core._node_list import keep_listed
 from citronweir.core._node_list import list_near
+from citronweir.core._node_list import list_next
 from citronweir.core._node_list import list_others
 from citronweir.core._node_list import list_receivers
 from citronweir.core._node_list import NodeList
--- a/citronweir/core/_node_list.py
+++ b/citronweir/core/_node_list.py
@@ -156,9 +156,10 @@
     """Lists the nodes to which a watcher sends what it read.
 
     A change of the configuration can be tens of kilobytes, and bytes
-    between regions cost most. So one node of each other region gets it
-    and passes it on there. The two watchers use different ones, and a
-    node that hears of neither reads the store itself.
+    between data centres cost. So one node of each other region, and of
+    each other data centre of this region, gets it and passes it on. The
+    two watchers use different ones, and a node that hears of neither reads
+    the store itself.
 
     Args:
         nodes: Nodes of the system.
@@ -169,15 +170,64 @@
     if own.node_id not in watchers:
         return []
     place = watchers.index(own.node_id)
-    receivers, others = list_near(nodes, own, regions), {}
-    for node in list_others(nodes, own.node_id):
-        region = regions.get(node.dc, '')
-        if region != regions.get(own.dc, ''):
-            others.setdefault(region, {})[node.node_id] = node
-    for region, members in others.items():
-        ranked = routing.rank_nodes(members, f'{_WATCH_NAME}/{region}')
-        receivers.append(members[ranked[place % len(ranked)]])
-    return receivers
+    others = list_others(nodes, own.node_id)
+    region = regions.get(own.dc, '')
+    far = {}
+    for node in others:
+        if regions.get(node.dc, '') != region:
+            far.setdefault(regions.get(node.dc, ''), []).append(node)
+    relays = [_choose_relay(far[name], name, place) for name in far]
+    return [*_list_in_region(others, own, regions, place), *relays]
+
+
+def list_next(
+    nodes: NodeList,
+    own: data.ListedNode,
+    regions: Regions,
+    sender: data.DataCentre,
+) -> list[data.ListedNode]:
+    """Lists the nodes to which a node passes on what it was sent.
+
+    Args:
+        nodes: Nodes of the system.
+        own: This node.
+        regions: Region of each data centre.
+        sender: Data centre of the node that sent it.
+    """
+    if sender == own.dc:
+        return []
+    others = list_others(nodes, own.node_id)
+    region = regions.get(own.dc, '')
+    if regions.get(sender, '') == region:
+        return [node for node in others if node.dc == own.dc]
+    members = [
+        node.node_id for node in others if regions.get(node.dc, '') == region
+    ]
+    ranked = _rank_relays([*members, own.node_id], region)
+    return _list_in_region(others, own, regions, ranked.index(own.node_id))
+
+
+def _list_in_region(others, own, regions, place):
+    """Lists the nodes beside this one and a relay of each neighbour."""
+    region = regions.get(own.dc, '')
+    beside, by_dc = [], {}
+    for node in others:
+        if node.dc == own.dc:
+            beside.append(node)
+        elif regions.get(node.dc, '') == region:
+            by_dc.setdefault(node.dc, []).append(node)
+    return beside + [_choose_relay(by_dc[dc], dc, place) for dc in by_dc]
+
+
+def _choose_relay(members, name, place):
+    by_id = {node.node_id: node for node in members}
+    ranked = _rank_relays(by_id, name)
+    return by_id[ranked[place % len(ranked)]]
+
+
+def _rank_relays(node_ids, name):
+    """Ranks the nodes of a region or data centre that may pass on."""
+    return routing.rank_nodes(node_ids, f'{_WATCH_NAME}/{name}')
 
 
 def list_near(
--- a/citronweir/core/_node_list_test.py
+++ b/citronweir/core/_node_list_test.py
@@ -6,14 +6,17 @@
 from citronweir import core
 from citronweir.core import _node_list as node_lists
 
-REGIONS = {core.DataCentre(f'd{number}'): f'r{number}' for number in range(3)}
+DCS = 6
+REGIONS = {
+    core.DataCentre(f'd{number}'): f'r{number % 3}' for number in range(DCS)
+}
 
 
 def _node(number):
     return core.ListedNode(
         core.NodeId(f'n{number}'),
         core.Address('127.0.0.1', number),
-        core.DataCentre(f'd{number % 3}'),
+        core.DataCentre(f'd{number % DCS}'),
         core.Incarnation(1),
     )
 
@@ -37,13 +40,39 @@
     ]
     assert len(watchers) == min(count, node_lists.WATCHERS)
     for watcher in watchers:
-        heard = {watcher.node_id}
-        for node in core.list_receivers(nodes, watcher, REGIONS):
-            heard.add(node.node_id)
-            if node.dc != watcher.dc:
-                near = core.list_near(nodes, node, REGIONS)
-                heard.update(item.node_id for item in near)
-        assert heard == {node.node_id for node in everyone}
+        hops = _spread(nodes, watcher)
+        assert hops.keys() == {node.node_id for node in everyone}
+        assert max(hops.values()) <= 3
+
+
+def _spread(nodes, watcher):
+    """Plays an announcement and returns the hops to each node."""
+    hops = {watcher.node_id: 0}
+    sent = [
+        (watcher, node)
+        for node in core.list_receivers(nodes, watcher, REGIONS)
+    ]
+    for sender, node in sent:
+        hops[node.node_id] = hops[sender.node_id] + 1
+        following = core.list_next(nodes, node, REGIONS, sender.dc)
+        sent += [(node, item) for item in following]
+    assert len(hops) == 1 + len(sent), 'a node hears of it twice'
+    return hops
+
+
+def test_announcement_crosses_each_boundary_once():
+    """Guards bytes between data centres: a change is tens of kilobytes.
+
+    Every node of the region was sent each batch by the watcher itself.
+    """
+    nodes = _list(60)
+    for number in range(60):
+        crossing = [
+            node
+            for node in core.list_receivers(nodes, _node(number), REGIONS)
+            if node.dc != _node(number).dc
+        ]
+        assert len(crossing) in (0, 3)
 
 
 def test_watchers_reach_other_regions_through_different_nodes():
--- a/citronweir/programs/_front_nodes.py
+++ b/citronweir/programs/_front_nodes.py
@@ -123,12 +123,11 @@
 def pass_on(
     parts: parts_.FrontParts, sender: core.DataCentre, batch: core.ConfigBatch
 ) -> None:
-    """Sends what came from another region to the nodes of this one."""
-    regions = parts.vantage.regions
-    if regions.get(sender, '') == regions.get(parts.own.dc, ''):
-        return
-    near = core.list_near(parts.catalogue.nodes, parts.own, regions)
-    for node in near:
+    """Sends what came from another data centre on, if this is a relay."""
+    receivers = core.list_next(
+        parts.catalogue.nodes, parts.own, parts.vantage.regions, sender
+    )
+    for node in receivers:
         nodes.send_config(parts.links, node.address, batch)
 
 
