Count groups from an even share of the data centres

Change: the number of groups of a data centre comes from an even share of the shards, or from all where one holds far more than that, so that it does not follow single replicas. Nodes are sorted by data centre once for a region and no longer once for each group.

--- a/citronweir/core/_grouping.py
+++ b/citronweir/core/_grouping.py
@@ -11,6 +11,7 @@
 """
 
 from collections import abc
+import math
 
 from citronweir.core import _data as data
 from citronweir.core import _placement as placement
@@ -24,6 +25,9 @@
 MIN_REMOTE = 3
 # Share of the largest region's shards from which another is as good.
 ALIKE = 0.8
+# Times an even share of the shards from which a data centre counts as
+# holding them all. The number of groups must not follow single replicas.
+UNEVEN = 1.5
 # Nodes that may ask a group, one after the other.
 OWNERS = 3
 
@@ -63,14 +67,17 @@
         held = _split_by_dc(route, places, list_usable, region, vantage)
         # Without a replica there is nobody to ask for another node.
         local += set(places).difference(*held.values())
-        for dc, number, chunk in _join_small(held, route, region == own):
-            peers = _list_asking(dc, held, by_id.values(), region, vantage)
-            ranked = rank_owners(route, dc, number, peers)
+        chunks = list(_chunk(held, route, region, vantage))
+        if region != own:
+            chunks = _join_small(chunks)
+        asking = _list_asking(held, by_id.values(), region, vantage)
+        for dc, number, chunk in chunks:
+            ranked = rank_owners(route, dc, number, asking[dc])
             if len(chunk) < MIN_REMOTE or not ranked or own_id in ranked:
                 local += chunk
-                continue
-            owners = tuple(by_id[node_id] for node_id in ranked)
-            groups.append(data.ShardGroup(chunk, owners))
+            else:
+                owners = tuple(by_id[node_id] for node_id in ranked)
+                groups.append(data.ShardGroup(chunk, owners))
     if local:
         groups.append(data.ShardGroup(tuple(sorted(local))))
     return tuple(groups)
@@ -110,12 +117,13 @@
     region = vantage.regions.get(vantage.dc, '')
     places = range(len(route.shards))
     held = _split_by_dc(route, places, list_usable, region, vantage)
-    owned = []
-    for dc, number, chunk in _chunk(held, route):
-        peers = _list_asking(dc, held, nodes, region, vantage)
-        if own_id in rank_owners(route, dc, number, peers):
-            owned += chunk
-    return owned
+    asking = _list_asking(held, nodes, region, vantage)
+    return [
+        place
+        for dc, number, chunk in _chunk(held, route, region, vantage)
+        if own_id in rank_owners(route, dc, number, asking[dc])
+        for place in chunk
+    ]
 
 
 def _split_by_region(route, list_usable, vantage, own, turn):
@@ -172,46 +180,55 @@
     return held
 
 
-def _list_asking(dc, held, nodes, region, vantage):
-    """Lists the nodes of a data centre, or else those nearest to it.
+def _list_asking(held, nodes, region, vantage):
+    """Lists the nodes that may ask the replicas of each data centre.
 
-    Beside no replica at all, any node of the region is as good.
+    They stand there, or else beside other replicas of the region.
     """
-    inside = [
-        node for node in nodes if vantage.regions.get(node.dc, '') == region
-    ]
-    there = [node for node in inside if node.dc == dc]
-    beside = [node for node in inside if node.dc in held]
-    return [node.node_id for node in there or beside or inside]
+    inside, by_dc = [], {}
+    for node in nodes:
+        if vantage.regions.get(node.dc, '') == region:
+            inside.append(node.node_id)
+            by_dc.setdefault(node.dc, []).append(node.node_id)
+    beside = [node_id for dc in held for node_id in by_dc.get(dc, ())]
+    return {dc: by_dc.get(dc) or beside or inside for dc in held}
 
 
-def _join_small(held, route, is_near):
-    """Joins what is left over of another region into one group.
+def _join_small(chunks):
+    """Joins what is left over of another region to one group.
 
     Each shard asked over the distance between regions costs its whole
     reply, while the data centres of one region are near to each other.
     """
-    chunks = list(_chunk(held, route))
-    if is_near:
-        return chunks
+    kept = [item for item in chunks if len(item[2]) >= MIN_REMOTE]
     small = [item for item in chunks if len(item[2]) < MIN_REMOTE]
-    if len(small) < 2:
-        return chunks
-    dc, number, _ = small[0]
+    if sum(len(chunk) for _, _, chunk in small) < MIN_REMOTE and kept:
+        small.append(kept.pop())
+    if not small:
+        return kept
+    dc, number, _ = small[-1]
     joined = sorted(place for _, _, chunk in small for place in chunk)
-    kept = [item for item in chunks if len(item[2]) >= MIN_REMOTE]
     return [*kept, (dc, number, tuple(joined))]
 
 
-def _chunk(held, route):
+def _chunk(held, route, region, vantage):
     """Splits places into numbered groups of each data centre.
 
     The number of a shard follows from its place alone, so that the loss
     of some replicas does not move the other shards to other nodes.
     """
-    count = -(-len(route.shards) // MAX_SHARDS)
+    dcs = sum(item == region for item in vantage.regions.values()) or 1
     for dc, places in sorted(held.items()):
+        count = _count_groups(route, len(places), dcs)
         for number in range(count):
             chunk = tuple(place for place in places if place % count == number)
             if chunk:
                 yield dc, number, chunk
+
+
+def _count_groups(route, places, dcs):
+    """Counts the groups of a data centre from an even share of the shards."""
+    share = len(route.shards) / dcs
+    if places > UNEVEN * share:
+        share = len(route.shards)
+    return math.ceil(share / MAX_SHARDS)
