--- a/citronweir/programs/_front_store.py
+++ b/citronweir/programs/_front_store.py
@@ -19,7 +19,7 @@
 # Changes that follow each other within this time are read in one call; the
 # start of many nodes otherwise takes a call of each watcher for each record.
 # A change is in force within 3 s, of which this is a small part.
-GATHER_TIME = 0.2  # seconds
+GATHER_TIME = 0.1  # seconds
 # Time between calls while the store refuses or does not answer; refused
 # calls are priced too. The limit leaves room to read a change within 3 s
 # of the store's return.
