--- a/citronweir/platform/__init__.py
+++ b/citronweir/platform/__init__.py
@@ -9,6 +9,8 @@
 from citronweir.platform._boot import METRICS_PORT
 from citronweir.platform._boot import read_boot
 from citronweir.platform._catalogue import decode_item
+from citronweir.platform._deploy import check_deploy
+from citronweir.platform._deploy import DeployError
 from citronweir.platform._ingress import close_ingress
 from citronweir.platform._ingress import Handle
 from citronweir.platform._ingress import Ingress
--- a/citronweir/programs/front.py
+++ b/citronweir/programs/front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import pathlib
 import sys
 
 from citronweir import platform
@@ -11,7 +12,7 @@
 EXIT_SETTINGS = 2
 
 
-def run(*, check: bool = False) -> int:
+def run(*, check: bool = False, deploy: pathlib.Path | None = None) -> int:
     """Runs a node until SIGTERM, then stops it gracefully.
 
     The platform passes everything in the settings file that it names in
@@ -19,10 +20,14 @@
 
     Args:
         check: Only check the settings and leave.
+        deploy: Only check this deploy file and leave.
 
     Returns:
-        Exit status: 0 after a graceful stop, 2 for wrong settings.
+        Exit status: 0 after a graceful stop or for a good file, 2 for wrong
+        settings or a wrong file.
     """
+    if deploy is not None:
+        return _check_deploy(deploy)
     boot = platform.read_boot()
     if isinstance(boot, platform.BootError):
         print(boot, file=sys.stderr)
@@ -35,6 +40,16 @@
     return 0
 
 
+def _check_deploy(path):
+    errors = platform.check_deploy(path)
+    for error in errors:
+        print(error, file=sys.stderr)
+    if errors:
+        return EXIT_SETTINGS
+    print(f'{path}: the file is good')
+    return 0
+
+
 def main() -> None:
     """Entry point of the program."""
     if not sys.argv[1:]:
--- a/citronweir/programs/front_test.py
+++ b/citronweir/programs/front_test.py
@@ -18,6 +18,13 @@
 [platform]
 address = "127.0.0.1:2"
 '''
+DEPLOY = """
+build = "true"
+[roles.query]
+run = "python3 -m citronweir.programs.front"
+on = "front"
+count = 2
+"""
 
 
 @pytest.mark.parametrize(
@@ -40,6 +47,17 @@
     assert bool(capsys.readouterr().err) == (status == 2)
 
 
+@pytest.mark.parametrize('text, status', [(DEPLOY, 0), ('build = 1', 2)])
+def test_deploy_file_is_checked_without_a_start(
+    text, status, tmp_path, capsys
+):
+    """Guards a deployment against a mistake that shows on the machines."""
+    path = tmp_path / 'system.toml'
+    path.write_text(text)
+    assert front.run(deploy=path) == status
+    assert bool(capsys.readouterr().err) == (status == 2)
+
+
 def test_help_and_unknown_arguments(monkeypatch, capsys):
     """Guards a person against a node that starts in place of an answer."""
     monkeypatch.setattr('sys.argv', ['citronweir-front', '--help'])
