Keep groups alike where data centres hold shards by turns

Cause: a shard's data centre and the number of its group both followed its place. Where two data centres hold the shards by turns, each then had all of its shards in one of its two groups: 45 of 90.

Change: the number follows the place divided by the data centres of the region.

--- a/citronweir/core/_grouping.py
+++ b/citronweir/core/_grouping.py
@@ -215,13 +215,16 @@
     """Splits places into numbered groups of each data centre.
 
     The number of a shard follows from its place alone, so that the loss
-    of some replicas does not move the other shards to other nodes.
+    of some replicas does not move the other shards to other nodes. Data
+    centres that hold the shards by turns must still have groups alike.
     """
     dcs = sum(item == region for item in vantage.regions.values()) or 1
     for dc, places in sorted(held.items()):
         count = _count_groups(route, len(places), dcs)
         for number in range(count):
-            chunk = tuple(place for place in places if place % count == number)
+            chunk = tuple(
+                place for place in places if place // dcs % count == number
+            )
             if chunk:
                 yield dc, number, chunk
 
--- a/citronweir/core/_grouping_test.py
+++ b/citronweir/core/_grouping_test.py
@@ -122,6 +122,7 @@
         dcs = {node.dc for node in group.owners} or {'d0'}
         assert len(held) == 1
         assert held == dcs
+        assert group.owners == () or len(group.places) <= grouping.MAX_SHARDS
 
 
 def test_remains_of_another_region_are_asked_together():
