--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -20,6 +20,8 @@
     telemetry.Event.REQUEST_SERVED,
     telemetry.Event.GROUP_ANSWERED,
 )
+# Services without a replica that the line of a refused request names.
+LACKING_NAMED = 3
 # Share of a replica's connections that the nodes use between them.
 CONNS_SHARE = 0.9
 # Part of the connections that the owners of a shard leave to other nodes,
@@ -218,7 +220,11 @@
         )
 
 
-def make_record(parts):
+def make_record(
+    parts: parts_.FrontParts,
+) -> abc.Callable[[service.RequestReport], None]:
+    """Builds what counts and logs the end of each request."""
+
     def record(report):
         event = _choose_event(report)
         _count(parts, report, event)
@@ -268,6 +274,9 @@
 def _describe(parts, report):
     index, route = parts.catalogue.index, report.route
     reason = getattr(report.outcome, 'reason', None)
+    lacking = ()
+    if reason is core.NotRunReason.NO_REPLICA:
+        lacking = _list_lacking(parts, route)
     return {
         'request': report.request_id,
         'route': route.name if route else '',
@@ -282,4 +291,12 @@
         'hedges': report.hedges,
         'retries': report.retries,
         'groups': report.groups,
+        'lacking': ' '.join(lacking[:LACKING_NAMED]),
     }
+
+
+def _list_lacking(parts, route):
+    """Lists the services of a route without a replica that takes requests."""
+    names = route.shards or [name for name, _ in route.splits]
+    directory = parts.catalogue.directory
+    return [name for name in names if not core.list_usable(directory, name)]
--- a/citronweir/programs/_front_requests_test.py
+++ b/citronweir/programs/_front_requests_test.py
@@ -9,24 +9,50 @@
 from fakes import routes
 
 
-def test_line_of_a_failed_request_tells_what_its_route_allows(monkeypatch):
-    """Guards on-call: without it no line explains that none was hedged."""
+def _log(monkeypatch, parts, report):
     lines = []
     monkeypatch.setattr(
         telemetry, 'log', lambda event, **fields: lines.append((event, fields))
     )
-    parts = types.SimpleNamespace(
-        catalogue=types.SimpleNamespace(index=None),
+    requests.make_record(parts)(report)
+    [line] = lines
+    return line
+
+
+def _make_parts():
+    return types.SimpleNamespace(
+        catalogue=types.SimpleNamespace(
+            index=None, directory=core.Directory()
+        ),
         counters=telemetry.make_counters(),
         log_limits=telemetry.make_log_limits(),
     )
+
+
+def test_line_of_a_failed_request_tells_what_its_route_allows(monkeypatch):
+    """Guards on-call: without it no line explains that none was hedged."""
     route = routes.make_gather_route(2)
     reason = core.FailureReason.DEADLINE_PASSED
     report = service.RequestReport(
         core.RequestId('id'), route, core.Unanswered(reason), 0.4
     )
-    requests.make_record(parts)(report)
-    [(event, fields)] = lines
+    event, fields = _log(monkeypatch, _make_parts(), report)
     assert event is telemetry.Event.REQUEST_FAILED
     assert fields['attempts'] == route.max_attempts
     assert fields['repeat'] == route.repeat.value
+
+
+def test_line_of_a_refused_request_names_the_services_without_a_replica(
+    monkeypatch,
+):
+    """Guards on-call: 208 lines of a played day did not say which service."""
+    reason = core.NotRunReason.NO_REPLICA
+    report = service.RequestReport(
+        core.RequestId('id'),
+        routes.make_gather_route(2),
+        core.Declined(reason, 1.0),
+        0.0,
+    )
+    event, fields = _log(monkeypatch, _make_parts(), report)
+    assert event is telemetry.Event.REQUEST_DECLINED
+    assert fields['lacking'] == 's0 s1'
