--- a/citronweir/upstreams/_lanes.py
+++ b/citronweir/upstreams/_lanes.py
@@ -179,7 +179,7 @@
 
 
 def warm(lanes: Lanes, replica: core.ListedReplica, limit: int) -> None:
-    """Opens a connection to a replica that has none and takes them."""
+    """Opens a connection to a replica that has none, unless it resets them."""
     lane = _find_lane(lanes, replica, limit)
     if not lane.opened and lanes.now() >= lane.warm_at:
         _open(lanes, lane)
