Hand removals on that only a listing shows

A node that was cut off from the store reads the whole listing afterwards and drops the records that are missing in it. Another node that takes over from it by anti-entropy goes on from the revision of that listing, and there is no record of the removal, so it never learns of it.

Ruled out: the pause of the watch after changes and the relays, which are not on that way (each region of the site has one data centre).

Change: the reading of a listing adds a removal, as of its revision, for each key that it lacks.

Measured: the new test fails on the version before (the other node still holds the key) and passes now.

--- a/citronweir/programs/_front_store.py
+++ b/citronweir/programs/_front_store.py
@@ -44,7 +44,7 @@
         _note_reply(parts, reply)
         if isinstance(reply, platform.StoreRefusal):
             return core.StoreError(f'{reply.fault.value}: {reply.detail}')
-        return _make_batch(reply)
+        return _add_removals(_make_batch(reply), parts.config.state)
 
     def on_change(fresh):
         service.take_records(
@@ -136,6 +136,23 @@
     )
 
 
+def _add_removals(batch, state):
+    """Adds what a listing shows to be gone as removals of its revision.
+
+    The node hands its records on to others, which go on from the revision
+    that they reach: without a record of it they never learn of a removal.
+    """
+    held = {record.key for record in batch.records}
+    gone = tuple(
+        core.ConfigRecord(key, '', batch.complete_to)
+        for key, record in state.records.items()
+        if record.value
+        and key not in held
+        and record.revision < batch.complete_to
+    )
+    return dataclasses.replace(batch, records=batch.records + gone)
+
+
 def _note_reply(parts, reply):
     """Notes whether the store answers, and logs when that changes."""
     now = time.monotonic()
--- a/citronweir/programs/_front_store_test.py
+++ b/citronweir/programs/_front_store_test.py
@@ -9,6 +9,7 @@
 
 from citronweir import core
 from citronweir import platform
+from citronweir import service
 from citronweir import telemetry
 from citronweir.programs import _front_store as front_store
 from fakes import virtual
@@ -20,6 +21,7 @@
         boot=types.SimpleNamespace(store=None),
         counters=telemetry.make_counters(),
         lost_at=None,
+        config=service.Configuration(),
         rng=random.Random(1),
     )
 
@@ -80,3 +82,36 @@
     monkeypatch.setattr(platform, 'wait_changes', wait_changes)
     virtual.run(main)
     assert len(calls) <= 2.0 / front_store.GATHER_TIME
+
+
+def _hold(*records, complete_to):
+    batch = core.ConfigBatch(records, core.Revision(complete_to))
+    return core.merge_batch(core.ConfigState(), batch)[0]
+
+
+async def test_removal_that_a_listing_shows_reaches_the_other_nodes(
+    monkeypatch,
+):
+    """Guards drains: a request came 3,394 ms after its replica had left.
+
+    A watcher that was cut off read the whole listing and lacked the key.
+    Another node went on from the watcher's revision without the removal.
+    """
+
+    async def read_all(session, store):
+        item = platform.Item('new', 'v', core.Revision(4))
+        return platform.Listing((item,), core.Revision(5))
+
+    monkeypatch.setattr(platform, 'read_all', read_all)
+    left = core.ConfigRecord(core.ConfigKey('left'), 'v', core.Revision(2))
+    late = core.ConfigRecord(core.ConfigKey('late'), 'v', core.Revision(6))
+    parts = _make_parts()
+    parts.config.state = _hold(left, late, complete_to=3)
+    peers = front_store.make_config_peers(parts, lambda: None)
+    state, _ = core.merge_batch(parts.config.state, await peers.read_all())
+    other = _hold(left, complete_to=3)
+    batch = core.newer_records(state, other.complete_to, 0.0)
+    other, _ = core.merge_batch(other, batch)
+    assert other.complete_to == 5
+    values = {key: record.value for key, record in other.records.items()}
+    assert values == {'left': '', 'new': 'v', 'late': 'v'}
