Give the nodes of the tests ports below those that the system hands out

Ports were drawn from the range that the system hands out and released before the node took them, which can end a start in that way.

Change: fixed ports below that range; each node has an address of its own.

--- a/fakes/front_fleet.py
+++ b/fakes/front_fleet.py
@@ -23,6 +23,11 @@
 from fakes import proxy as proxies
 
 START_TIME = 15.0  # seconds
+# Ports of every node, each of which has an address of its own. They lie
+# below those that the system hands out, so that no other socket has them.
+CALLERS_PORT = 8201
+READINESS_PORT = 8202
+LINKS_PORT = 8203
 SETTINGS = '''
 node = "{node}"
 zone = "dc1"
@@ -147,7 +152,6 @@
         name: Node id.
         grace: Seconds between SIGTERM and SIGKILL in its settings.
     """
-    front, ready, port = (test_utils.unused_port() for _ in range(3))
     app = stores.make_app(fleet.store, name)
     server = await fleet.stack.enter_async_context(test_utils.TestServer(app))
     proxy = await fleet.stack.enter_async_context(proxies.run(server.port))
@@ -160,14 +164,16 @@
         SETTINGS.format(
             node=name,
             host=host,
-            port=port,
-            front=front,
-            ready=ready,
+            port=LINKS_PORT,
+            front=CALLERS_PORT,
+            ready=READINESS_PORT,
             store=proxy.port,
             grace=grace,
         )
     )
-    node = Node(host, f'{host}:{front}', f'{host}:{ready}', path, proxy)
+    node = Node(
+        host, f'{host}:{CALLERS_PORT}', f'{host}:{READINESS_PORT}', path, proxy
+    )
     fleet.nodes[name] = node
     await start_node(fleet, name)
 
