--- a/fakes/front_fleet.py
+++ b/fakes/front_fleet.py
@@ -82,12 +82,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Fleet:
-    """The stand-ins and the nodes."""
+    """The stand-ins and the nodes.
+
+    Attributes:
+        is_direct: Whether nodes reach the replicas without a proxy, which
+            would accept connections for one that has ended.
+    """
 
     store: stores.Store
     stack: contextlib.AsyncExitStack
     session: aiohttp.ClientSession
     folder: pathlib.Path
+    is_direct: bool = False
     replicas: dict[str, Replica] = dataclasses.field(default_factory=dict)
     nodes: dict[str, Node] = dataclasses.field(default_factory=dict)
 
@@ -120,9 +126,11 @@
 def put_replica(fleet: Fleet, replica_id: str, state: str = 'ready') -> None:
     """Writes the entry of a replica into the store."""
     replica = fleet.replicas[replica_id]
+    proxy = replica.proxy
+    port = proxy.target if fleet.is_direct else proxy.port
     entry = {
         'backend': replica.service,
-        'address': f'127.0.0.1:{replica.proxy.port}',
+        'address': f'127.0.0.1:{port}',
         'zone': 'dc1',
         'slots': 2,
         'state': state,
@@ -275,8 +283,10 @@
     nodes: abc.Iterable[str] = ('n1',),
     routes: abc.Iterable[dict] = (),
     grace: float = 2.0,
+    copies: str = 'ab',
+    is_direct: bool = False,
 ) -> abc.AsyncIterator[Fleet]:
-    """Runs two services of two replicas each, and nodes that are ready.
+    """Runs two services of some replicas each, and nodes that are ready.
 
     Args:
         folder: Where settings and logs go.
@@ -284,12 +294,14 @@
         routes: Routes of version 3; without any there is one, of both
             services.
         grace: Seconds between SIGTERM and SIGKILL in the settings.
+        copies: A letter for each replica of a service.
+        is_direct: Whether nodes reach the replicas without a proxy.
     """
     async with contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(aiohttp.ClientSession())
-        fleet = Fleet(stores.Store(), stack, session, folder)
+        fleet = Fleet(stores.Store(), stack, session, folder, is_direct)
         for number, service in enumerate(SERVICES):
-            for copy in 'ab':
+            for copy in copies:
                 records = f'{number:016d}'.encode() * 2
                 await add_replica(fleet, service, f'i-{number}{copy}', records)
         routes = routes or [make_route(gather=list(SERVICES), top_k=3)]
@@ -310,4 +322,4 @@
             node.proc.kill()
             await node.proc.wait()
     for replica in fleet.replicas.values():
-        replica.server.close()
+        replica.state.server.close()
--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -40,6 +40,10 @@
         seen_at: Monotonic second of each of them.
         ran: Ids of the requests that it worked on.
         cancelled: Requests whose connection closed while they ran.
+        poison: Text in the first line of a request that ends the process.
+        down: Seconds from an end to the next start.
+        ended_by: Ids of the requests that ended it; empty where it ended by
+            itself.
     """
 
     replica_id: str
@@ -55,13 +59,37 @@
     conns: int = 0
     max_conns: int = 1000
     open_conns: int = 0
+    poison: str = ''
+    down: float = 1.0
+    ended_by: list[str] = dataclasses.field(default_factory=list)
+    server: asyncio.Server | None = None
+    writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
 
 
 async def start(replica: Replica, port: int = 0) -> asyncio.Server:
     """Starts to accept connections on the loopback."""
-    return await asyncio.start_server(
+    replica.server = await asyncio.start_server(
         functools.partial(_serve, replica), '127.0.0.1', port
     )
+    return replica.server
+
+
+def end(replica: Replica, request_id: str = '') -> None:
+    """Ends a replica as a process ends, and starts it again later.
+
+    Its connections are reset, and its port refuses new ones meanwhile.
+    """
+    if not replica.server.is_serving():
+        return
+    replica.ended_by.append(request_id)
+    port = replica.server.sockets[0].getsockname()[1]
+    replica.server.close()
+    for writer in list(replica.writers):
+        writer.transport.abort()
+    loop = asyncio.get_running_loop()
+    loop.call_later(
+        replica.down, lambda: loop.create_task(start(replica, port))
+    )
 
 
 async def _serve(replica, reader, writer):
@@ -70,6 +98,7 @@
         writer.transport.abort()
         return
     replica.open_conns += 1
+    replica.writers.add(writer)
     try:
         while await _serve_one(replica, reader, writer):
             pass
@@ -79,6 +108,7 @@
         pass  # the loop ends while a silent replica holds its answer back
     finally:
         replica.open_conns -= 1
+        replica.writers.discard(writer)
         writer.close()
 
 
@@ -96,6 +126,9 @@
     fault = replica.faults.pop(0) if replica.faults else Fault.NONE
     if fault is not Fault.SHED:
         replica.ran.append(headers['X-Request-Id'])
+    if replica.poison and replica.poison in line:
+        end(replica, headers['X-Request-Id'])
+        return False
     if replica.delay and await _is_cut(reader, replica.delay):
         replica.cancelled += 1
         return False
--- /dev/null
+++ b/tests/crashing_request_test.py
@@ -0,0 +1,160 @@
+"""A request that ends each replica of the platform that begins to run it."""
+
+import asyncio
+import contextlib
+import itertools
+import json
+
+import aiohttp
+import pytest
+
+from fakes import front_fleet as fleets
+from fakes import platform_replica as replicas
+
+POISON = 'poison'
+NODES = ('n1', 'n2', 'n3')
+# Replicas that may be lost before the request counts as the cause.
+MAX_BLAMELESS = 3
+# Repeats that may still reach a replica after that.
+MAX_LATER = 3
+# Seconds after the third end from which repeats are counted. The platform
+# allows its `stable_window_ms`, which is 4 s and more.
+LEARN_TIME = 1.0
+REPEATS = 30
+REPEAT_PAUSE = 0.15  # seconds
+INNOCENTS = 6
+COPIES = 'abcdef'
+
+ROUTES = {
+    'gather': fleets.make_route(
+        gather=list(fleets.SERVICES), top_k=3, min_shard_ratio=0.5
+    ),
+    'plain': fleets.make_route(backend='s0', max_attempts=3),
+    'once': fleets.make_route(backend='s0', kind='non_idempotent'),
+}
+INNOCENT = fleets.make_route(
+    path_prefix='/i/', backend='s0', name='innocent', max_attempts=3
+)
+
+
+@contextlib.asynccontextmanager
+async def _run_fleet(folder, *routes, poison=POISON):
+    async with fleets.run(
+        folder, NODES, routes, copies=COPIES, is_direct=True
+    ) as fleet:
+        for replica in fleet.replicas.values():
+            replica.state.poison = poison
+        yield fleet
+
+
+def _list_states(fleet):
+    return [replica.state for replica in fleet.replicas.values()]
+
+
+def _count_ends(fleet):
+    return sum(len(state.ended_by) for state in _list_states(fleet))
+
+
+async def _ask(fleet, session, name, path, request_id, method='GET'):
+    try:
+        reply = await fleets.ask(
+            fleet, name, path, request_id, session, method=method
+        )
+    except aiohttp.ClientError as exc:
+        return repr(exc)
+    return reply[0]
+
+
+@contextlib.asynccontextmanager
+async def _run_innocents(fleet):
+    """Repeats some requests from callers beside the guilty one."""
+    replies = []
+
+    async def repeat(number):
+        async with aiohttp.ClientSession() as session:
+            for count in itertools.count():
+                name = NODES[(number + count) % len(NODES)]
+                replies.append(
+                    await _ask(
+                        fleet,
+                        session,
+                        name,
+                        f'/i/{number}',
+                        f'i{number}-{count}',
+                    )
+                )
+                await asyncio.sleep(0.01)
+
+    tasks = [asyncio.create_task(repeat(item)) for item in range(INNOCENTS)]
+    try:
+        yield replies
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _read_quarantined(fleet):
+    """Returns the requests that nodes refused as crashing replicas."""
+    found = set()
+    for name in NODES:
+        text = (fleet.folder / f'{name}.log').read_text()
+        for line in text.splitlines():
+            fields = json.loads(line)
+            if fields.get('reason') == 'quarantined':
+                found.add(fields['request'])
+    return found
+
+
+@pytest.mark.parametrize('kind', list(ROUTES))
+async def test_request_that_ends_replicas_is_refused_after_three(
+    tmp_path, kind
+):
+    """Guards replicas against a caller that repeats what ends them.
+
+    The repeats go through the nodes in turn. Requests beside it end with
+    the replicas that they shared with it and must not be refused for that.
+    """
+    method = 'POST' if kind == 'once' else 'GET'
+    async with _run_fleet(tmp_path, ROUTES[kind], INNOCENT) as fleet:
+        third_at = None
+        loop = asyncio.get_running_loop()
+        later = []
+        async with (
+            aiohttp.ClientSession() as session,
+            _run_innocents(fleet) as innocents,
+        ):
+            for number in range(REPEATS):
+                name = NODES[number % len(NODES)]
+                started = loop.time()
+                request_id = f'p{number}'
+                await _ask(
+                    fleet, session, name, f'/a/{POISON}', request_id, method
+                )
+                if third_at is None and _count_ends(fleet) >= MAX_BLAMELESS:
+                    third_at = loop.time()
+                elif third_at is not None and started > third_at + LEARN_TIME:
+                    later.append(request_id)
+                await asyncio.sleep(REPEAT_PAUSE)
+        ran = {item for state in _list_states(fleet) for item in state.ran}
+        assert len(ran & set(later)) <= MAX_LATER, _count_ends(fleet)
+        assert not any(item[0] == 'i' for item in _read_quarantined(fleet))
+        assert innocents.count(200) >= 0.95 * len(innocents)
+
+
+async def test_requests_are_served_while_replicas_end_by_themselves(tmp_path):
+    """Guards requests against the blame for ends that they only witnessed."""
+    async with _run_fleet(tmp_path, INNOCENT) as fleet:
+        states = [
+            replica.state
+            for replica in fleet.replicas.values()
+            if replica.service == 's0'
+        ]
+        for state in states:
+            state.delay = 0.02
+        async with _run_innocents(fleet) as innocents:
+            for number in range(REPEATS):
+                replicas.end(states[number % len(states)])
+                await asyncio.sleep(1.2 * states[0].down / len(states))
+        assert not _read_quarantined(fleet)
+        assert innocents.count(200) >= 0.95 * len(innocents)
