Tell the end of a replica from a lost answer, and name its request

After a request is lost without an answer the node looks whether the replica still listens: it does if another connection to it is open, otherwise a new one is tried, and only a refused one shows an end. Each such end is a line CW3009 with the caller and a fingerprint of the request, and counts in citronweir_replicas_ended_total. The caller travels with group queries. Decisions do not change.

Tests: the end of a process is seen, also after the caller has left; resets, cut, silent and foreign answers are not taken for one.

--- a/citronweir/core/__init__.py
+++ b/citronweir/core/__init__.py
@@ -5,6 +5,7 @@
 from citronweir.core._admission import check_contract
 from citronweir.core._admission import Estimate
 from citronweir.core._admission import release
+from citronweir.core._blame import fingerprint_request
 from citronweir.core._budget import Budgets
 from citronweir.core._budget import expected_service
 from citronweir.core._budget import hedge_delay
--- a/citronweir/core/_data.py
+++ b/citronweir/core/_data.py
@@ -14,6 +14,7 @@
 
 ContractId = typing.NewType('ContractId', str)
 RequestId = typing.NewType('RequestId', str)
+CallerId = typing.NewType('CallerId', str)
 ChangeId = typing.NewType('ChangeId', str)
 NodeId = typing.NewType('NodeId', str)
 ReplicaId = typing.NewType('ReplicaId', str)
@@ -102,6 +103,7 @@
     """Why it is not known whether a request ran."""
 
     REPLY_LOST = 'reply_lost'
+    CONNECTION_LOST = 'connection_lost'
     TIMEOUT = 'timeout'
     CLAIMED_ELSEWHERE = 'claimed_elsewhere'
     ID_EXPIRED = 'id_expired'
@@ -1036,6 +1038,7 @@
         target: Path and query as the caller sent them.
         headers: Fields to send on, without those of the connection.
         budget: Seconds that the caller waits.
+        caller: Who sent it, empty if that is not known.
     """
 
     request_id: RequestId
@@ -1045,6 +1048,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     budget: float
+    caller: CallerId = CallerId('')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/citronweir/nodes/_groups.py
+++ b/citronweir/nodes/_groups.py
@@ -43,6 +43,7 @@
         'q': [req.method, req.host, req.target],
         'h': [list(pair) for pair in req.headers],
         'b': req.body,
+        'c': req.caller,
         'due': max(0.0, query.due - now),
         'left': max(0.0, query.deadline - now),
     }
@@ -67,6 +68,7 @@
         headers,
         records.blob(fields['b']),
         left,
+        core.CallerId(records.text(fields.get('c', ''))),
     )
     query = core.GroupQuery(
         records.number(fields['v']),
--- a/citronweir/platform/_ingress.py
+++ b/citronweir/platform/_ingress.py
@@ -201,6 +201,7 @@
         headers,
         body,
         _read_budget(request.headers.get(names.DEADLINE, '')),
+        core.CallerId(request.remote or ''),
     )
 
 
--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -173,6 +173,7 @@
             encoders['own'],
             on_end,
             route.repeat is core.Repeat.NON_IDEMPOTENT,
+            lambda: _note_end(parts, req, replica),
         )
         upstreams.submit(
             parts.lanes, replica, conn_limit(parts, replica.service), exchange
@@ -204,6 +205,20 @@
             core.note_failure_of(load, number, now)
 
 
+def _note_end(parts, req, replica):
+    telemetry.count(parts.counters, 'replicas_ended')
+    event = telemetry.Event.REPLICA_ENDED
+    if telemetry.may_log(parts.log_limits, event, time.monotonic()):
+        telemetry.log(
+            event,
+            replica=replica.replica_id,
+            service=replica.service,
+            request=req.request_id,
+            caller=req.caller,
+            fingerprint=core.fingerprint_request(req),
+        )
+
+
 def _log_failure(parts, req, replica, load, outcome, seconds):
     event = telemetry.Event.REPLICA_FAILED
     if outcome.reason is core.NotRunReason.CANCELLED:
--- a/citronweir/telemetry/_events.py
+++ b/citronweir/telemetry/_events.py
@@ -151,6 +151,13 @@
         'replica {replica} of {service} gave {outcome} to request {request} '
         'after {ms} ms; {failures} failures in succession',
     )
+    REPLICA_ENDED = EventSpec(
+        3009,
+        'WARNING',
+        'replica {replica} of {service} ended with request {request} of '
+        'caller {caller} running; fingerprint {fingerprint}',
+        'Search for the fingerprint: repeats of one request share it.',
+    )
     REPLICA_LISTED = EventSpec(
         3007,
         'INFO',
--- a/citronweir/upstreams/_lanes.py
+++ b/citronweir/upstreams/_lanes.py
@@ -32,9 +32,16 @@
 WARM_FIRST = 0.5  # seconds
 WARM_LIMIT = 4.0  # seconds
 MAX_DOUBLINGS = 8
+# After a request was lost, the other connections of a process that has ended
+# are reset within this time.
+CHECK_DELAY = 0.02  # seconds
 QUEUE_LIMIT = 64  # waiting requests of each rank
 # After the caller has left, a request may run on for this time.
 LEAVE_TIME = 0.25  # seconds
+_LOSSES = {
+    exchanges.Loss.BROKEN: core.UnknownReason.CONNECTION_LOST,
+    exchanges.Loss.MALFORMED: core.UnknownReason.REPLY_LOST,
+}
 _SHARES = {
     core.Rank.URGENT: 0.7,
     core.Rank.ORDINARY: 0.2,
@@ -51,6 +58,7 @@
         decode: Turns a whole reply into an outcome.
         is_own: Tells from a reply's fields whether it is to this request.
         on_end: Takes the outcome, once.
+        on_ended: Called if the replica has ended with the request running.
         is_once: Whether the request must not run twice.
         deadline: Monotonic second after which the reply is of no use.
         conn: Connection that carries it, or None while it waits.
@@ -63,6 +71,7 @@
     is_own: exchanges.IsOwn
     on_end: abc.Callable[[core.AttemptOutcome], None]
     is_once: bool = False
+    on_ended: abc.Callable[[], None] | None = None
     conn: exchanges.Connection | None = None
     entry: core.Entry | None = None
     timer: asyncio.TimerHandle | None = None
@@ -78,6 +87,8 @@
         opened: Connections that are open or being opened.
         resets: Idle connections in succession that were lost at once.
         warm_at: Monotonic second from which an idle one may be opened.
+        unanswered: Lost requests for which it is not known yet whether the
+            replica has ended.
     """
 
     address: core.Address
@@ -90,6 +101,7 @@
     idle: list[exchanges.Connection] = dataclasses.field(default_factory=list)
     busy: set[exchanges.Connection] = dataclasses.field(default_factory=set)
     tasks: set[asyncio.Task] = dataclasses.field(default_factory=set)
+    unanswered: list[Exchange] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -192,7 +204,8 @@
             continue
         while lane.idle:
             _discard(lane, lane.idle.pop())
-        if not lane.opened and not core.count_waiting(lane.queue):
+        is_waiting = core.count_waiting(lane.queue) or lane.unanswered
+        if not lane.opened and not is_waiting:
             del lanes.by_replica[replica_id]
 
 
@@ -257,7 +270,7 @@
 async def _connect(lanes, lane):
     loop = asyncio.get_running_loop()
     on_idle_loss = functools.partial(_lose_idle, lanes, lane)
-    conn = None
+    conn, is_refused = None, False
     try:
         async with asyncio.timeout(CONNECT_TIME):
             _, conn = await loop.create_connection(
@@ -265,6 +278,8 @@
                 lane.address.host,
                 lane.address.port,
             )
+    except ConnectionRefusedError:
+        is_refused = True
     except (OSError, TimeoutError):
         pass
     finally:
@@ -272,6 +287,7 @@
         is_open = conn is not None and not conn.is_closed
         if not is_open:
             lane.opened -= 1
+    _settle_check(lane, is_refused)
     if is_open:
         conn.idle_since = lanes.now()
         _use_new(lanes, lane, conn)
@@ -355,7 +371,9 @@
     lane.busy.discard(conn)
     if isinstance(result, exchanges.Loss):
         lane.opened -= 1
-        outcome = core.Lost(core.UnknownReason.REPLY_LOST)
+        outcome = core.Lost(_LOSSES[result])
+        if result is exchanges.Loss.BROKEN:
+            _check_later(lanes, lane, exchange)
     else:
         outcome = exchange.decode(result)
         _release(lanes, lane, conn, result)
@@ -394,10 +412,41 @@
         return
     lane.busy.discard(exchange.conn)
     _discard(lane, exchange.conn)
+    _check_later(lanes, lane, exchange)
     _finish(exchange, core.Lost(core.UnknownReason.TIMEOUT))
     _open_if_allowed(lanes, lane)
 
 
+def _check_later(lanes, lane, exchange):
+    """Finds out whether the replica of a lost request has ended.
+
+    A lost answer, a reset by something in between and a refused connection
+    over the limit leave the process running; only a port that nobody listens
+    on shows its end.
+    """
+    if exchange.on_ended is None:
+        return
+    lane.unanswered.append(exchange)
+    if len(lane.unanswered) == 1:
+        asyncio.get_running_loop().call_later(CHECK_DELAY, _check, lanes, lane)
+
+
+def _check(lanes, lane):
+    if not lane.unanswered or not lanes.by_replica:
+        return
+    if lane.opened > lane.opening:
+        lane.unanswered.clear()  # another connection to it is open
+    elif not lane.opening:
+        _open(lanes, lane)
+
+
+def _settle_check(lane, has_ended):
+    lost, lane.unanswered = lane.unanswered, []
+    if has_ended:
+        for exchange in lost:
+            exchange.on_ended()
+
+
 def _end_expired(entries):
     for entry in entries:
         late = core.NotRun(core.NotRunReason.DEADLINE_PASSED)
--- a/citronweir/upstreams/_lanes_test.py
+++ b/citronweir/upstreams/_lanes_test.py
@@ -215,3 +215,47 @@
             upstreams.warm(client.lanes, client.replica, client.limit)
             await asyncio.sleep(0.01)
     assert 1 <= client.lanes.opened_total <= 3
+
+
+async def _list_ended(replica, fault, seconds=0.4):
+    """Returns the requests during which the replica was seen to end."""
+    ended = []
+    async with _run(replica) as client:
+        for number in range(2):
+            assert isinstance(await _send(client, number), core.Replied)
+        replica.faults.append(fault)
+        replica.poison = '/a/' if fault is replicas.Fault.NONE else ''
+        future, exchange = _submit(client, _request(9), 0.2)
+        exchange.on_ended = lambda: ended.append(9)
+        assert isinstance(await future, core.Lost)
+        await asyncio.sleep(seconds)
+    return ended
+
+
+async def test_replica_that_ended_is_told_from_a_lost_answer():
+    """Guards requests against the blame for an answer that was only lost."""
+    assert await _list_ended(
+        replicas.Replica('i-1', RECORDS), replicas.Fault.NONE
+    ) == [9]
+    for fault in (
+        replicas.Fault.RESET,
+        replicas.Fault.CUT,
+        replicas.Fault.SILENT,
+        replicas.Fault.GARBAGE,
+    ):
+        replica = replicas.Replica('i-1', RECORDS)
+        assert await _list_ended(replica, fault) == [], fault
+
+
+async def test_end_is_seen_after_the_caller_has_left():
+    """Guards replicas against a caller that leaves before each end."""
+    ended = []
+    replica = replicas.Replica('i-1', RECORDS, delay=0.1)
+    async with _run(replica) as client:
+        _, exchange = _submit(client, _request(1))
+        exchange.on_ended = lambda: ended.append(1)
+        await asyncio.sleep(0.05)
+        upstreams.leave(client.lanes, client.replica.replica_id, exchange)
+        replicas.end(replica)
+        await asyncio.sleep(0.2)
+    assert ended == [1]
