--- a/citronweir/core/_blame.py
+++ b/citronweir/core/_blame.py
@@ -32,9 +32,10 @@
 # Requests of a caller that met an end at the same service; a single one may
 # meet several replicas that fail together.
 MIN_REQUESTS = 2
-# Ends by which a request is ahead of each other that shares some of them.
-# One that ran beside the cause twice and met a third end by itself would be
-# ahead by one.
+# Repeats with ends by which a request is ahead of each other that shares some
+# of the ends. One that ran beside the cause twice and met a third end by
+# itself is ahead by one. Ends alone do not compare: a request that may be
+# retried meets several in each repeat.
 MIN_LEAD = 2
 # Ends count after this time, when the reports of the other nodes and of the
 # other requests are there.
@@ -411,8 +412,9 @@
         return False
     rivals = _list_rivals(table, ends, now)
     alone = [end for end in ends if not _share_end([end], sum(rivals, []))]
+    most = _count_requests(ends) - MIN_LEAD
     return _is_enough(alone, now) or all(
-        len(rival) <= len(ends) - MIN_LEAD for rival in rivals
+        _count_requests(rival) <= most for rival in rivals
     )
 
 
@@ -421,7 +423,7 @@
     by_service, count = {}, 0
     for report, at in ends:
         if now - at >= SETTLE_TIME:
-            by_service.setdefault(report.service, []).append((at, report))
+            by_service.setdefault(report.service, []).append((report, at))
             count += 1
     return count >= MIN_ENDS and any(
         _count_requests(found) >= MIN_REQUESTS for found in by_service.values()
@@ -459,7 +461,7 @@
 def _count_requests(ends):
     """Counts the requests that met ends, and repeats under one id."""
     last, count = {}, 0
-    for at, report in sorted(ends, key=lambda item: item[0]):
+    for report, at in sorted(ends, key=lambda end: end[1]):
         known = last.get(report.request_id)
         if known is None or at - known > SAME_REQUEST_TIME:
             count += 1
