Let odd entries of other writers stop no node and hide no replica

Other operators saw machines end, or stop following the list of replicas, after one odd entry. It can happen here: a number too large for a float in the entry of a replica raised an OverflowError that nobody caught. It ended the task that watches the store, and each stream on which another node announced the entry, so that drains and configurations were no longer followed. Names in place of IP numbers were looked up, and an id with a line break went into the head of requests.

Class: an error of one item of outside data ends the loop that reads all items. The same class elsewhere: records and claims nested too deeply, and the VM list, where one odd entry made the whole list unreadable.

--- a/citronweir/metastore/_claim_records.py
+++ b/citronweir/metastore/_claim_records.py
@@ -46,6 +46,6 @@
             str(fields.get('result', '')),
             result_omitted=bool(fields.get('omitted', False)),
         )
-    except (KeyError, TypeError, ValueError) as exc:
+    except (KeyError, RecursionError, TypeError, ValueError) as exc:
         return None, [f'malformed claim: {exc!r}']
     return claim, []
--- a/citronweir/metastore/_records.py
+++ b/citronweir/metastore/_records.py
@@ -62,6 +62,7 @@
         AttributeError,
         KeyError,
         OverflowError,
+        RecursionError,
         TypeError,
         ValueError,
     ) as exc:
--- a/citronweir/metastore/_vms.py
+++ b/citronweir/metastore/_vms.py
@@ -12,8 +12,10 @@
 import aiohttp
 
 from citronweir import core
+from citronweir import telemetry
 
 LABEL_PREFIX = '__meta_citronweir_'
+MAX_ERROR = 300  # characters of a line of the log
 
 
 class VmRole(enum.Enum):
@@ -69,13 +71,30 @@
             raw = await resp.read()
         if resp.status != 200:
             return VmsError(f'HTTP status {resp.status}')
-        return [_decode_vm(group) for group in json.loads(raw)]
+        return _decode_vms(json.loads(raw))
     except (aiohttp.ClientError, TimeoutError, RuntimeError) as exc:
         return VmsError(f'{type(exc).__name__}: {exc}')
-    except (IndexError, KeyError, TypeError, ValueError) as exc:
+    except (TypeError, ValueError) as exc:
         return VmsError(f'malformed list: {exc!r}')
 
 
+def _decode_vms(groups):
+    """Decodes the entries; one that cannot be read hides no other."""
+    vms, errors = [], []
+    for group in groups:
+        try:
+            vms.append(_decode_vm(group))
+        except (AttributeError, LookupError, TypeError, ValueError) as exc:
+            errors.append(exc)
+    if errors:
+        telemetry.log(
+            telemetry.Event.VMS_MALFORMED,
+            count=len(errors),
+            error=repr(errors[0])[:MAX_ERROR],
+        )
+    return vms
+
+
 def _decode_vm(group):
     labels = group['labels']
     host, _, port = group['targets'][0].rpartition(':')
@@ -84,5 +103,12 @@
         VmRole(labels[LABEL_PREFIX + 'role']),
         VmState(labels[LABEL_PREFIX + 'state']),
         core.DataCentre(str(labels[LABEL_PREFIX + 'dc'])),
-        core.Address(str(ipaddress.ip_address(host)), int(port)),
+        core.Address(str(ipaddress.ip_address(host)), _parse_port(port)),
     )
+
+
+def _parse_port(text):
+    port = int(text)
+    if not 0 < port < 1 << 16:
+        raise ValueError(f'no port: {text[:MAX_ERROR]!r}')
+    return port
--- a/citronweir/platform/_catalogue.py
+++ b/citronweir/platform/_catalogue.py
@@ -5,7 +5,10 @@
 """
 
 import dataclasses
+import ipaddress
 import json
+import math
+import re
 import typing
 
 from citronweir import core
@@ -13,7 +16,24 @@
 from citronweir.platform import _names as names
 
 _RANKS = tuple(core.Rank)
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+# Decoders run into limits of their own on what is too large or too deep.
+_DECODE_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    MemoryError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+# An error becomes a line of the log.
+_MAX_ERROR = 300  # characters
+# The store allows 200 bytes for a key.
+_MAX_NAME = 200  # characters
+# An id goes into the head of requests.
+_REPLICA_ID = re.compile(rf'[!-~]{{1,{_MAX_NAME}}}')
+_MAX_SLOTS = 1 << 20
+_MAX_MILLIS = 1 << 53  # whole in a float; 285,000 years
 
 
 def decode_item(
@@ -32,8 +52,8 @@
         return record, []
     try:
         body = _decode(record.key, record.value)
-    except (*_DECODE_ERRORS, RecursionError) as exc:
-        return record, [f'{type(exc).__name__}: {exc}']
+    except _DECODE_ERRORS as exc:
+        return record, [f'{type(exc).__name__}: {exc}'[:_MAX_ERROR]]
     return dataclasses.replace(record, body=body), []
 
 
@@ -99,16 +119,24 @@
 def decode_replica(
     replica_id: core.ReplicaId, fields: dict[str, typing.Any]
 ) -> core.ListedReplica:
-    """Decodes the entry of a replica; raises like ``decode_routes``."""
+    """Decodes the entry of a replica; raises like ``decode_routes``.
+
+    Other writers may leave anything here, so each field is checked for what
+    the node does with it later.
+    """
+    if not _REPLICA_ID.fullmatch(replica_id):
+        raise ValueError('id is not of visible ASCII characters')
+    address = boot.parse_address(_text(fields['address']))
+    ipaddress.IPv4Address(address.host)  # a name would be looked up
     return core.ListedReplica(
         replica_id,
-        core.ServiceName(_text(fields['backend'])),
-        boot.parse_address(_text(fields['address'])),
-        core.DataCentre(_text(fields['zone'])),
+        core.ServiceName(_name(fields['backend'])),
+        address,
+        core.DataCentre(_name(fields['zone'])),
         core.ListedState(fields['state']),
-        max(1, _integer(fields['slots'])),
-        _seconds(fields.get('warmup_left_ms', 0)),
-        core.Epoch(_integer(fields.get('born', 0))),
+        max(1, _within(_integer(fields['slots']), 0, _MAX_SLOTS)),
+        _within(_seconds(fields.get('warmup_left_ms', 0)), 0.0, _MAX_MILLIS),
+        core.Epoch(_within(_integer(fields.get('born', 0)), 0, _MAX_MILLIS)),
     )
 
 
@@ -145,6 +173,20 @@
     return value
 
 
+def _name(value):
+    text = _text(value)
+    if not text or len(text) > _MAX_NAME:
+        raise ValueError(f'{len(text)} characters are no name')
+    text.encode()  # a lone surrogate could not be written anywhere
+    return text
+
+
+def _within(value, least, most):
+    if not least <= value <= most:
+        raise ValueError(f'not from {least} to {most}')
+    return value
+
+
 def _integer(value):
     if isinstance(value, bool) or not isinstance(value, int):
         raise TypeError(f'not an integer: {value!r}')
@@ -154,4 +196,7 @@
 def _seconds(value):
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f'not a number: {value!r}')
-    return value / 1000.0
+    seconds = value / 1000.0
+    if not math.isfinite(seconds):
+        raise ValueError('not a finite number')
+    return seconds
--- a/citronweir/platform/_catalogue_test.py
+++ b/citronweir/platform/_catalogue_test.py
@@ -5,6 +5,7 @@
 import hypothesis
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from citronweir import core
 from citronweir import platform
@@ -121,3 +122,64 @@
     """Guards against an alarm for each replica that leaves."""
     record, errors = _decode('servers/i-1', '')
     assert record.body is None and not errors
+
+
+HUGE = 10**400
+ODD_FIELDS = [
+    ('warmup_left_ms', HUGE),
+    ('warmup_left_ms', -HUGE),
+    ('warmup_left_ms', float('inf')),
+    ('warmup_left_ms', float('nan')),
+    ('warmup_left_ms', -1),
+    ('slots', HUGE),
+    ('slots', -1),
+    ('born', HUGE),
+    ('born', -1),
+    ('born', 1.5),
+    ('address', '10.0.0.1:70000'),
+    ('address', '10.0.0.1:0'),
+    ('address', '10.0.0.1:-80'),
+    ('address', '10.0.0.1:' + '9' * 5000),
+    ('address', 'host.example:80'),
+    ('address', 'a\0b:80'),
+    ('address', '.' * 300 + ':80'),
+    ('address', '\ud800:80'),
+    ('backend', '\ud800'),
+    ('backend', ''),
+    ('backend', 'x' * 100_000),
+    ('zone', '\ud800'),
+    ('state', []),
+    ('state', {}),
+]
+
+
+@pytest.mark.parametrize('name, value', ODD_FIELDS)
+def test_odd_field_names_no_replica(name, value):
+    """Guards a node against an entry that stops it or its watch."""
+    record, errors = _decode('servers/i-1', ENTRY | {name: value})
+    assert record.body is None
+    assert len(errors) == 1
+    assert len(errors[0]) < 500  # it becomes a line of the log
+
+
+@pytest.mark.parametrize('depth', [500, 900, 2000, 100_000])
+@pytest.mark.parametrize('name', ['backend', 'slots', 'unknown'])
+def test_deeply_nested_field_stops_nothing(name, depth):
+    """Guards the watch against an error of the decoder's own limits."""
+    nested = '[' * depth + ']' * depth
+    fields = json.dumps({key: ENTRY[key] for key in ENTRY if key != name})
+    record, errors = _decode(
+        'servers/i-1', f'{fields[:-1]}, "{name}": {nested}}}'
+    )
+    assert bool(errors) == (record.body is None)
+    assert all(len(error) < 500 for error in errors)
+
+
+@pytest.mark.parametrize(
+    'replica_id', ['', 'a b', 'a\r\nX-Y: z', 'é', '漢', 'x' * 300, '\ud800']
+)
+def test_key_that_is_no_header_value_names_no_replica(replica_id):
+    """Guards replicas: the id goes into the head of each request."""
+    record, errors = _decode(f'servers/{replica_id}', ENTRY)
+    assert record.body is None
+    assert len(errors) == 1
--- a/citronweir/platform/_store.py
+++ b/citronweir/platform/_store.py
@@ -242,7 +242,7 @@
         return StoreRefusal(StoreFault.REFUSED, f'HTTP status {resp.status}')
     try:
         fields = json.loads(raw)
-    except ValueError as exc:
+    except (RecursionError, ValueError) as exc:
         return StoreRefusal(StoreFault.MALFORMED, str(exc))
     if not isinstance(fields, dict):
         return StoreRefusal(StoreFault.MALFORMED, 'not an object')
--- a/citronweir/telemetry/_events.py
+++ b/citronweir/telemetry/_events.py
@@ -213,6 +213,13 @@
         4007, 'INFO', 'the store answers again after {seconds:.1f} s'
     )
 
+    VMS_MALFORMED = EventSpec(
+        4008,
+        'ERROR',
+        '{count} entries of the VM list cannot be read, the first: {error}',
+        'Find what else writes to the VM list; the other entries hold.',
+    )
+
     STREAM_REJECTED = EventSpec(
         6001,
         'WARNING',
--- a/tests/front_test.py
+++ b/tests/front_test.py
@@ -4,6 +4,7 @@
 import json
 import signal
 
+import aiohttp
 import pytest
 
 from fakes import front_fleet as fleets
@@ -250,3 +251,68 @@
     assert 'citronweir_requests_total' in text
     assert 'citronweir_request_seconds_bucket' in text
     assert 'citronweir_configuration_version 3.0' in text
+
+
+ODD_ENTRIES = {
+    'i-deep': b'{"backend": ' + b'[' * 100_000,
+    'i-nested': b'{"backend": ' + b'[' * 900 + b']' * 900 + b'}',
+    'i-huge': b'{"warmup_left_ms": 1' + b'0' * 400 + b'}',
+    'i-digits': b'{"slots": ' + b'9' * 10_000 + b'}',
+    'i-port': b'{"address": "127.0.0.1:70000"}',
+    'i-name': b'{"address": "upstream.example:80"}',
+    'i-nul': b'{"address": "a\\u0000:80"}',
+    'i-text': b'{"backend": "\\ud800"}',
+    'i-bytes': b'\xff\xfe\x00',
+    'i-null': b'null',
+    'i é\r\nX-Y: z': b'{}',
+}
+
+
+async def test_odd_entries_among_the_replicas_stop_no_node(tmp_path):
+    """Guards callers and drains against another writer in the store.
+
+    Each entry is a good one but for one field. Nodes read it in the watch,
+    from each other and, after a restart, in the listing.
+    """
+    async with fleets.run(tmp_path, ('n1', 'n2', 'n3')) as fleet:
+        good = json.loads(fleet.store.items['servers/i-0a'].value)
+        pids = {name: node.proc.pid for name, node in fleet.nodes.items()}
+        await asyncio.sleep(1.0)
+        for replica_id, value in ODD_ENTRIES.items():
+            rest = {key: good[key] for key in good}
+            if value.startswith(b'{'):
+                name = value[2:].partition(b'"')[0].decode()
+                rest.pop(name, None)
+                value = json.dumps(rest).encode()[:-1] + b', ' + value[1:]
+            stores.put(fleet.store, f'servers/{replica_id}', value)
+        await asyncio.sleep(0.5)
+        fleets.put_replica(fleet, 'i-0a', 'draining')
+        prefix = '/later/'
+        fleets.put_config(
+            fleet.store, 9, fleets.make_route(path_prefix=prefix, backend='s0')
+        )
+        fleet.nodes['n3'].proc.kill()
+        await fleet.nodes['n3'].proc.wait()
+        await fleets.start_node(fleet, 'n3')
+        for name in fleet.nodes:
+            async with asyncio.timeout(3.0):
+                while not await _is_served(fleet, name, prefix):
+                    await asyncio.sleep(0.05)
+        seen = len(fleet.replicas['i-0a'].state.seen)
+        for name in fleet.nodes:
+            for number in range(10):
+                reply = await fleets.ask(
+                    fleet, name, prefix, f'{name}{number}'
+                )
+                assert reply[0] == 200
+        assert len(fleet.replicas['i-0a'].state.seen) == seen
+        for name in ('n1', 'n2'):
+            assert fleet.nodes[name].proc.pid == pids[name]
+            assert fleet.nodes[name].proc.returncode is None
+
+
+async def _is_served(fleet, name, path):
+    try:
+        return (await fleets.ask(fleet, name, path))[0] == 200
+    except aiohttp.ClientError:
+        return False
