Take only a whole, final reply to this request, and bound its bytes

Two faults at the end of a reply, both from trusting what a replica in trouble sends. A connection that ended counted as the end of a reply without length, whatever had come before: after an interim reply (100) the caller got an empty answer with status 100, and the late reply to another request, without a length, was passed on as this one's. A head that is cut in any byte was and is no reply. Second, only the body was bounded: fields, interim and foreign replies and trailers without end were read until the deadline, and 40 replicas that send bodies without end could fill 320 MB of a VM with 200 to 300 MB.

Change: the end of a connection ends only a reply whose head is whole, final and of this request. At most 64 KB come before the head is whole, 8 MB until the reply is, and 64 MB over all connections, above which only replies of up to 256 KB are read on.

Ruled out: the client of the project's own upstreams (aiohttp); a head cut after any byte raises there (a trial over each cut of a reply).

--- a/citronweir/programs/_compose_front.py
+++ b/citronweir/programs/_compose_front.py
@@ -129,14 +129,17 @@
 
 
 def _start_tasks(parts, config_peers):
-    async def sync():
+    async def push():
         blame.push_reports(parts)
+
+    async def sync():
         if parts.config.ready:
             await service.sync_config(config_peers, parts.config)
 
     coros = (
         _run_config(parts, config_peers),
         service.run_periodically('sync', SYNC_INTERVAL, sync, parts.rng),
+        service.run_periodically('reports', SYNC_INTERVAL, push, parts.rng),
         service.run_periodically(
             'upkeep', UPKEEP_INTERVAL, lambda: _upkeep(parts), parts.rng
         ),
--- a/citronweir/upstreams/_exchange.py
+++ b/citronweir/upstreams/_exchange.py
@@ -13,8 +13,15 @@
 
 import httptools
 
-# Largest reply that is read, bytes.
+# Bytes that are read until a reply is whole, of what comes before it too. A
+# replica in trouble may send without end.
 MAX_REPLY_BYTES = 8 << 20
+# Bytes before the head of the reply is whole.
+MAX_HEAD_BYTES = 64 << 10
+# Bytes of all replies that are being read, on VMs of 200 MB and more. A reply
+# above the share is given up while they are exceeded.
+MAX_BUFFERED_BYTES = 64 << 20
+SMALL_REPLY_BYTES = 256 << 10
 _NO_BODY = frozenset({204, 304})
 
 
@@ -40,6 +47,13 @@
     is_reusable: bool
 
 
+@dataclasses.dataclass(slots=True)
+class Buffered:
+    """Bytes of the replies that all connections are reading."""
+
+    size: int = 0
+
+
 OnEnd = abc.Callable[[RawReply | Loss], None]
 IsOwn = abc.Callable[[dict[str, str]], bool]
 
@@ -54,7 +68,7 @@
         keep_alive: Seconds for which the replica keeps it open idle.
     """
 
-    def __init__(self, on_idle_loss):
+    def __init__(self, on_idle_loss, buffered):
         self.transport = None
         self.on_end: OnEnd | None = None
         self.on_idle_loss = on_idle_loss
@@ -65,7 +79,10 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: dict[str, str] = {}
         self._chunks: list[bytes] = []
+        self._buffered: Buffered = buffered
         self._size = 0
+        self._head_size = 0
+        self._has_head = False
         self._is_unframed = False
         self._ready: RawReply | None = None
         self._is_dirty = False
@@ -79,6 +96,8 @@
         if self.on_end is None:
             self._lose_idle()
             return
+        self._size += len(data)
+        self._buffered.size += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -86,14 +105,14 @@
                 _end(self, Loss.MALFORMED)
                 return
             self._is_dirty = True
-        if self._size > MAX_REPLY_BYTES:
-            _end(self, Loss.MALFORMED)
-        elif self._ready is not None:
+        if self._ready is not None:
             _deliver(self)
+        elif self._is_too_large(len(data)):
+            _end(self, Loss.MALFORMED)
 
     def eof_received(self):
         """Ends a reply that has no length; others are cut short."""
-        if self.on_end is not None and self._is_unframed:
+        if self.on_end is not None and self._is_unframed and self._is_reply():
             self._ready = _make_reply(self, is_reusable=False)
             _deliver(self)
 
@@ -104,6 +123,22 @@
         else:
             self._lose_idle()
 
+    def _is_too_large(self, received):
+        if not self._has_head:
+            self._head_size += received
+        is_small = self._size <= SMALL_REPLY_BYTES
+        return (
+            self._size > MAX_REPLY_BYTES
+            or self._head_size > MAX_HEAD_BYTES
+            or (not is_small and self._buffered.size > MAX_BUFFERED_BYTES)
+        )
+
+    def _is_reply(self):
+        """Tells whether the message is final, and to this request."""
+        if self._parser.get_status_code() < 200:
+            return False
+        return self.is_own is None or self.is_own(self._headers)
+
     def _lose_idle(self):
         if not self.is_closed:
             close(self)
@@ -114,8 +149,8 @@
         if self._ready is not None:
             self._is_dirty = True
             return
-        self._headers, self._chunks, self._size = {}, [], 0
-        self._is_unframed = False
+        self._headers, self._chunks = {}, []
+        self._has_head = self._is_unframed = False
 
     def on_header(self, name, value):
         """Takes one field."""
@@ -125,7 +160,8 @@
 
     def on_headers_complete(self):
         """Finds out whether the body has a length."""
-        if self._ready is None:
+        if self._ready is None and self._parser.get_status_code() >= 200:
+            self._has_head = True
             self._is_unframed = not (
                 'content-length' in self._headers
                 or 'transfer-encoding' in self._headers
@@ -136,17 +172,16 @@
         """Takes a part of the body."""
         if self._ready is None:
             self._chunks.append(body)
-            self._size += len(body)
 
     def on_message_complete(self):
         """Takes the end of a message, unless it is not the reply."""
         if self._ready is not None:
             return
-        if self._parser.get_status_code() < 200:
-            return
-        if self.is_own is not None and not self.is_own(self._headers):
-            # A late second reply to the request before; ours is to come.
-            self._is_dirty = True
+        self._has_head = self._is_unframed = False
+        if not self._is_reply():
+            # An interim reply, or a late second one to the request before;
+            # ours is to come.
+            self._is_dirty |= self._parser.get_status_code() >= 200
             return
         self._ready = _make_reply(self, self._parser.should_keep_alive())
 
@@ -169,6 +204,8 @@
 def close(conn: Connection) -> None:
     """Closes a connection at once; an exchange in progress is dropped."""
     conn.on_end = None
+    conn._buffered.size -= conn._size
+    conn._size = 0
     if not conn.is_closed:
         conn.is_closed = True
         conn.transport.abort()
@@ -191,6 +228,8 @@
 
 
 def _end(conn, result):
+    conn._buffered.size -= conn._size
+    conn._size = conn._head_size = 0
     on_end, conn.on_end = conn.on_end, None
     if isinstance(result, Loss) or not result.is_reusable:
         close(conn)
--- a/citronweir/upstreams/_lanes.py
+++ b/citronweir/upstreams/_lanes.py
@@ -110,6 +110,7 @@
 
     Attributes:
         now: Monotonic clock, seconds.
+        buffered: Bytes of the replies that are being read.
     """
 
     now: abc.Callable[[], float]
@@ -117,6 +118,9 @@
         default_factory=dict
     )
     opened_total: int = 0
+    buffered: exchanges.Buffered = dataclasses.field(
+        default_factory=exchanges.Buffered
+    )
 
 
 def submit(
@@ -274,7 +278,9 @@
     try:
         async with asyncio.timeout(CONNECT_TIME):
             _, conn = await loop.create_connection(
-                functools.partial(exchanges.Connection, on_idle_loss),
+                functools.partial(
+                    exchanges.Connection, on_idle_loss, lanes.buffered
+                ),
                 lane.address.host,
                 lane.address.port,
             )
