Let replicas end in the soak, by themselves and under a repeated request

The check counts repeats that reach replicas later than 4 s after the third end, other than from nodes that were disturbed; its test shows that it can fail.

--- a/bench/_soak_checks.py
+++ b/bench/_soak_checks.py
@@ -20,6 +20,11 @@
 EXTRA_RATIO = 0.2
 EXTRA_SLACK = 56
 EXTRA_WINDOW = 10.0  # seconds
+# Repeats of a request that may reach replicas later than the time after it has
+# ended the third (the platform's bound and its `stable_window_ms`).
+CRASH_TIME = 4.0  # seconds
+MAX_BLAMELESS = 3
+MAX_LATER = 3
 # Statuses that promise that a request has not run and never will.
 REFUSALS = frozenset({408, 421, 429, 503})
 
@@ -161,6 +166,42 @@
     ]
 
 
+def check_crashes(
+    states: abc.Iterable[replicas.Replica],
+    spans: abc.Iterable[Span],
+    nodes: abc.Container[str],
+) -> list[str]:
+    """Checks that a request which ends replicas soon reaches no more.
+
+    Args:
+        states: Replicas; ids of such requests are ``NODE/COUNT``.
+        spans: Disturbances, which excuse what a node sends for a while.
+        nodes: Node ids.
+    """
+    arrivals = sorted(
+        (at, headers['X-Request-Id'].partition('/')[0])
+        for state in states
+        for at, (_, headers, _) in zip(state.seen_at, state.seen, strict=True)
+        if headers['X-Request-Id'].partition('/')[0] in nodes
+    )
+    if len(arrivals) <= MAX_BLAMELESS:
+        return []
+    third_at = arrivals[MAX_BLAMELESS - 1][0]
+    later = [
+        (at, name)
+        for at, name in arrivals
+        if at > third_at + CRASH_TIME
+        and not any(
+            span.subject in ('', name)
+            and span.start <= at <= span.end + CRASH_TIME
+            for span in spans
+        )
+    ]
+    if len(later) <= MAX_LATER:
+        return []
+    return [f'{len(later)} repeats reached replicas after the third end']
+
+
 def check_versions(
     samples: abc.Iterable[tuple[str, int, float]],
 ) -> list[str]:
--- a/bench/_soak_checks_test.py
+++ b/bench/_soak_checks_test.py
@@ -127,3 +127,27 @@
     assert checks.check_extra({'s0': [_state(*often)]})
     seldom = [('q1', number * 1.0) for number in range(60)]
     assert not checks.check_extra({'s0': [_state(*seldom)]})
+
+
+@pytest.mark.parametrize(
+    'times, spans, is_wrong',
+    [
+        ((0.0, 0.1, 0.2, 0.3, 4.1), (), False),
+        ((0.0, 0.1, 0.2, 4.3, 5.0, 6.0), (), False),
+        ((0.0, 0.1, 0.2, 4.3, 5.0, 6.0, 7.0), (), True),
+        (
+            (0.0, 0.1, 0.2, 4.3, 5.0, 6.0, 7.0),
+            (checks.Span('n1', 1.0, 3.5),),
+            False,
+        ),
+        (
+            (0.0, 0.1, 0.2, 4.3, 5.0, 6.0, 7.0),
+            (checks.Span('n2', 1.0, 3.5),),
+            True,
+        ),
+    ],
+)
+def test_repeats_after_the_third_end_are_counted(times, spans, is_wrong):
+    """Guards the soak against a request that ends replica after replica."""
+    state = _state(*((f'n1/{at}', at) for at in times), ('c1-1', 8.0))
+    assert bool(checks.check_crashes([state], spans, ('n1', 'n2'))) == is_wrong
--- a/bench/_soak_faults.py
+++ b/bench/_soak_faults.py
@@ -40,6 +40,7 @@
         errors: What the faults themselves found.
         busy: Nodes that a signal is ending or pausing, and replicas that
             drain.
+        is_crashing: Whether replicas end by themselves as well.
     """
 
     fleet: fleets.Fleet
@@ -49,6 +50,7 @@
     drains: list[checks.Drain] = dataclasses.field(default_factory=list)
     errors: list[str] = dataclasses.field(default_factory=list)
     busy: set[str] = dataclasses.field(default_factory=set)
+    is_crashing: bool = False
 
 
 def make_routes(version: int) -> list[dict]:
@@ -75,6 +77,8 @@
     end = time.monotonic() + seconds
     async with asyncio.TaskGroup() as group:
         active = set()
+        if world.is_crashing:
+            group.create_task(_end_replicas(world, end))
         while time.monotonic() < end:
             await asyncio.sleep(world.rng.uniform(0.1, MAX_GAP))
             if len(active) >= MAX_ACTIVE:
@@ -84,6 +88,14 @@
             task.add_done_callback(active.discard)
 
 
+async def _end_replicas(world, end):
+    """Ends one replica after the other, as their processes crash."""
+    while time.monotonic() < end:
+        await asyncio.sleep(world.rng.uniform(0.2, 1.5))
+        name = world.rng.choice(sorted(world.fleet.replicas))
+        replicas.end(world.fleet.replicas[name].state)
+
+
 @contextlib.asynccontextmanager
 async def _take_node(world):
     """Gives a node that no other fault signals, or None."""
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import pathlib
 import random
@@ -30,6 +31,10 @@
 # After the last fault all nodes serve again within this time.
 RECOVERY_TIME = 15.0  # seconds
 STEADY_REQUESTS = 60  # requests that must all be served then
+# Path of a request that ends each replica which begins to run it.
+POISON = 'poison'
+POISON_PAUSE = 0.2  # seconds between two repeats
+CRASHING_COPIES = 'abcd'  # replicas of each service while they end
 PATHS = {
     checks.Kind.GATHER: ('GET', '/a/x'),
     checks.Kind.PLAIN: ('GET', '/p/x'),
@@ -55,23 +60,32 @@
     spans: int
 
 
-async def run_seed(seed: int, seconds: float, folder: pathlib.Path) -> Result:
+async def run_seed(
+    seed: int, seconds: float, folder: pathlib.Path, crashes: bool = False
+) -> Result:
     """Runs one soak.
 
     Args:
         seed: Decides the faults.
         seconds: For which faults are injected.
         folder: Where settings and logs go.
+        crashes: Whether replicas end, by themselves and under a request
+            that its caller repeats. No proxy stands before them then.
     """
     rng = random.Random(seed)
     routes = faults.make_routes(3)
-    async with fleets.run(folder, NODES, routes, faults.GRACE) as fleet:
-        world = faults.World(fleet, rng)
+    copies = CRASHING_COPIES if crashes else 'ab'
+    async with fleets.run(
+        folder, NODES, routes, faults.GRACE, copies, crashes
+    ) as fleet:
+        world = faults.World(fleet, rng, is_crashing=crashes)
         replies, samples = [], []
         callers = [
             asyncio.create_task(_call(world, number, replies))
             for number in range(CALLERS)
         ]
+        if crashes:
+            callers.append(asyncio.create_task(_repeat_poison(world)))
         sampler = asyncio.create_task(_sample(fleet, samples))
         await faults.run_faults(world, seconds)
         errors = await _check_recovery(world)
@@ -103,6 +117,7 @@
         *checks.check_versions(samples),
         *checks.check_drains(world.drains, states, world.spans),
         *checks.check_extra(by_service),
+        *checks.check_crashes(states.values(), world.spans, NODES),
     ]
 
 
@@ -121,6 +136,22 @@
             )
 
 
+async def _repeat_poison(world):
+    """Sends a request again and again that ends what runs it."""
+    rng = random.Random(world.rng.random())
+    method, path = rng.choice(list(PATHS.values()))
+    path = path.replace('/x', f'/{POISON}')
+    for replica in world.fleet.replicas.values():
+        replica.state.poison = POISON
+    for count in range(1_000_000):
+        await asyncio.sleep(POISON_PAUSE)
+        name = rng.choice(NODES)
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            await fleets.ask(
+                world.fleet, name, path, f'{name}/{count}', method=method
+            )
+
+
 async def _ask(fleet, session, kind, name, request_id):
     method, path = PATHS[kind]
     sent_at = time.monotonic()
@@ -194,18 +225,24 @@
 
 
 @app.default
-def main(first: int = 1, count: int = 1, seconds: float = 15.0) -> None:
+def main(
+    first: int = 1,
+    count: int = 1,
+    seconds: float = 15.0,
+    crashes: bool = False,
+) -> None:
     """Runs some seeds, one after another.
 
     Args:
         first: First seed.
         count: Number of seeds.
         seconds: For which faults are injected in each.
+        crashes: Whether replicas end as well.
     """
     failed = 0
     for seed in range(first, first + count):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-        result = asyncio.run(run_seed(seed, seconds, folder))
+        result = asyncio.run(run_seed(seed, seconds, folder, crashes))
         failed += bool(result.errors)
         print(
             f'seed {seed}: {len(result.errors)} errors,'
--- a/bench/soak_test.py
+++ b/bench/soak_test.py
@@ -25,6 +25,13 @@
     assert result.outcomes['200'] > 100
 
 
+async def test_promises_hold_while_replicas_end(tmp_path):
+    """Guards replicas against a repeat, and the requests beside it."""
+    result = await soak.run_seed(3, 2 * SECONDS, tmp_path, crashes=True)
+    assert not result.errors, result.errors
+    assert result.outcomes['200'] > 100
+
+
 @pytest.mark.parametrize('seed', TEARDOWN_SEEDS)
 async def test_stopping_node_ends_in_its_time(seed, tmp_path):
     """Guards G7: a node that is killed at the end of its time loses work."""
