Let repeats of a suspect through one at a time until its verdict

An innocent request is free with its first answer.

The weighing of ends stands in a module of its own; reports of ends that answers have voided leave room for new ones (found by a test when the bound went from 64 to 32 reports, which keeps the table under 15 MB).

--- a/citronweir/core/__init__.py
+++ b/citronweir/core/__init__.py
@@ -9,14 +9,13 @@
 from citronweir.core._blame import count_states
 from citronweir.core._blame import expire_reports
 from citronweir.core._blame import fingerprint_request
+from citronweir.core._blame import hold_suspect
 from citronweir.core._blame import is_convicted
 from citronweir.core._blame import is_valid
 from citronweir.core._blame import judge_request
 from citronweir.core._blame import Judgement
 from citronweir.core._blame import list_reports
 from citronweir.core._blame import note_report
-from citronweir.core._blame import ReplicaReport
-from citronweir.core._blame import ReportKind
 from citronweir.core._blame import start_trial
 from citronweir.core._blame import watch_request
 from citronweir.core._budget import Budgets
@@ -61,6 +60,8 @@
 from citronweir.core._directory import note_restored
 from citronweir.core._directory import remove_entry
 from citronweir.core._directory import take_entry
+from citronweir.core._ends import ReplicaReport
+from citronweir.core._ends import ReportKind
 from citronweir.core._extra_load import bucket_size
 from citronweir.core._extra_load import ExtraLoad
 from citronweir.core._extra_load import note_request
--- a/citronweir/core/_blame.py
+++ b/citronweir/core/_blame.py
@@ -1,17 +1,9 @@
-"""Finds requests under which replicas end, over all nodes and repeats.
+"""Keeps the requests under which replicas have ended, over all nodes.
 
 A node sees which of its own requests ran at a replica that ended, not what
-other nodes had there, so one end says little. A request that is repeated
-often also sees many ends, but replicas answer it in between; one that ends
-each replica which begins to run it is never answered. Reports of ends and
-of answers therefore count for each service apart, and an answer voids the
-ends before it. Where several requests ran at the same replica, its end tells
-little of each, unless one is well ahead of the others: replicas that end by
-themselves leave all with about as many.
-
-Repeats are told by their content and caller. Where callers cannot be told
-apart by their address, the content alone counts, if ends under several of
-them are known.
+other nodes had there, so nodes send each other what they saw. Repeats are
+told by their content and caller. Where callers cannot be told apart by their
+address, the content alone counts, if ends under several of them are known.
 
 A convicted request is refused, so it could never be answered. One node sends
 it to one replica again after a while, and later each time that this ends.
@@ -19,70 +11,22 @@
 
 from collections import abc
 import dataclasses
-import enum
 import hashlib
 import itertools
 
 from citronweir.core import _data as data
+from citronweir.core import _ends as weighing
 from citronweir.core import _routing as routing
 
-# Ends under a request before it counts as their cause. The platform's bound
-# on repeats begins with the third.
-MIN_ENDS = 3
-# Requests of a caller that met an end at the same service; a single one may
-# meet several replicas that fail together.
-MIN_REQUESTS = 2
-# Repeats with ends by which a request is ahead of each other that shares some
-# of the ends. One that ran beside the cause twice and met a third end by
-# itself is ahead by one. Ends alone do not compare: a request that may be
-# retried meets several in each repeat.
-MIN_LEAD = 2
-# Ends count after this time, when the reports of the other nodes and of the
-# other requests are there.
-SETTLE_TIME = 0.25  # seconds
-# Reports that name the same replica within this time are of one end.
-SAME_END_TIME = 1.0  # seconds
-# Seconds from the last end until a convicted request is tried again. It
-# doubles with each end, up to the limit. The platform allows three retries
-# after the third end.
-TRIAL_FIRST = 30.0
-TRIAL_LIMIT = 600.0
-# Seconds from one trial to the next; the end of a replica is known by then.
-TRIAL_GAP = 10.0
-# Reports are dropped after this time, so that the last trials still count.
-REPORT_TIME = 2 * TRIAL_LIMIT  # seconds
-# A request with the id of an earlier one counts as another after this time.
-SAME_REQUEST_TIME = 1.0  # seconds
 # For this time after a request was lost, answers to it are noted: whether
 # its replica has ended is known a moment later.
 WATCH_TIME = 5.0  # seconds
-# At most 10 MB, of the 64 MB that a node may spend on control.
+# A suspect with enough ends for a conviction goes through one repeat at a time
+# and node. An end is known to all nodes and counts within this time.
+HOLD_TIME = 0.5  # seconds
+# At most 15 MB, of the 64 MB that a node may spend on control.
 MAX_ENTRIES = 1000
-MAX_REPORTS = 64
-
-
-class ReportKind(enum.Enum):
-    """What became of a request at a replica."""
-
-    ENDED = 'ended'
-    ANSWERED = 'answered'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReplicaReport:
-    """What one node saw of a request at a replica.
-
-    Attributes:
-        request_id: Empty for an answer, of which only the newest counts.
-        replica_id: Empty for an answer.
-    """
-
-    kind: ReportKind
-    fingerprint: data.Fingerprint
-    caller: data.CallerId
-    service: data.ServiceName
-    request_id: data.RequestId = data.RequestId('')
-    replica_id: data.ReplicaId = data.ReplicaId('')
+MAX_REPORTS = 32
 
 
 @dataclasses.dataclass(slots=True)
@@ -93,11 +37,12 @@
         reports: Monotonic second of each.
         watched_until: Monotonic second until which it is kept though no
             end counts.
-        tried_at: Monotonic second of the last trial.
+        tried_at: Monotonic second at which it was last let through though
+            it may end a replica.
         convicted: Callers for which the request is the cause of ends.
     """
 
-    reports: dict[ReplicaReport, float] = dataclasses.field(
+    reports: dict[weighing.ReplicaReport, float] = dataclasses.field(
         default_factory=dict
     )
     watched_until: float = 0.0
@@ -129,11 +74,14 @@
         state: SUSPECT or CONVICTED.
         until: Monotonic second from which a convicted one may be tried.
         services: Where replicas ended and none has answered since.
+        is_due: Whether the ends would be enough for a conviction, but for
+            reports that may still come and other requests that share them.
     """
 
     state: data.SuspectState
     until: float
     services: frozenset[data.ServiceName]
+    is_due: bool = False
 
 
 def fingerprint_request(req: data.HttpRequest) -> data.Fingerprint:
@@ -159,7 +107,7 @@
 
 
 def note_report(
-    table: BlameTable, report: ReplicaReport, at: float, now: float
+    table: BlameTable, report: weighing.ReplicaReport, at: float, now: float
 ) -> bool:
     """Takes over what this or another node saw.
 
@@ -173,25 +121,29 @@
         Whether it changes what is known of the request, so that other
         nodes should know it.
     """
-    if now - at > REPORT_TIME:
+    if now - at > weighing.REPORT_TIME:
         return False
-    if report.kind is ReportKind.ANSWERED:
+    if report.kind is weighing.ReportKind.ANSWERED:
         return _note_answer(table, report, at)
     entry = _find_entry(table, report.fingerprint, now)
-    if report in entry.reports or len(entry.reports) >= MAX_REPORTS:
+    if report in entry.reports:
         return False
+    if len(entry.reports) >= MAX_REPORTS:
+        _drop_voided(entry, now)
+        if len(entry.reports) >= MAX_REPORTS:
+            return False
     entry.reports[report] = at
     prints = table.by_replica.setdefault(report.replica_id, set())
     prints.add(report.fingerprint)
     return is_valid(table, report)
 
 
-def is_valid(table: BlameTable, report: ReplicaReport) -> bool:
+def is_valid(table: BlameTable, report: weighing.ReplicaReport) -> bool:
     """Returns whether an end is known that no answer has voided."""
     entry = table.entries.get(report.fingerprint)
     if entry is None or report not in entry.reports:
         return False
-    answered = _find_answered(entry, report.caller)
+    answered = weighing.find_answered(entry.reports, report.caller)
     return entry.reports[report] > answered.get(report.service, float('-inf'))
 
 
@@ -216,30 +168,56 @@
     entry = table.entries.get(fingerprint)
     if entry is None:
         return None
-    own = _list_ends(entry, caller, now)
-    every = _list_ends(entry, None, now)
+    own = weighing.list_ends(entry.reports, caller, now)
+    every = weighing.list_ends(entry.reports, None, now)
     ends = own or every
     if not ends:
         entry.convicted.discard(caller)
         return None
     callers = {report.caller for report, _ in every}
-    is_cause = _is_cause(table, own, now) or (
-        len(callers) > 1 and _is_cause(table, every, now)
+    rivals = _list_rivals(table, fingerprint, ends, now)
+    is_cause = weighing.is_cause(own, rivals, now) or (
+        len(callers) > 1 and weighing.is_cause(every, rivals, now)
     )
     if is_cause:
         entry.convicted.add(caller)
-    elif not _is_enough(ends, now):
+    elif not weighing.is_enough(ends, now):
         entry.convicted.discard(caller)
     state = data.SuspectState.SUSPECT
     if caller in entry.convicted:
         state = data.SuspectState.CONVICTED
     return Judgement(
         state,
-        max(at for _, at in ends) + _find_pause(ends),
+        max(at for _, at in ends) + weighing.find_pause(ends),
         frozenset(report.service for report, _ in ends),
+        len(ends) >= weighing.MIN_ENDS,
     )
 
 
+def hold_suspect(
+    table: BlameTable, fingerprint: data.Fingerprint, now: float
+) -> float:
+    """Decides how long a suspect whose verdict is due has to wait.
+
+    Repeats that come at once would each end a replica before the first end
+    is known.
+
+    Args:
+        table: Reports of the node.
+        fingerprint: What would run.
+        now: Monotonic clock, seconds.
+
+    Returns:
+        Seconds until it may come again, 0 if it goes through now.
+    """
+    entry = table.entries[fingerprint]
+    left = entry.tried_at + HOLD_TIME - now
+    if left > 0.0:
+        return left
+    entry.tried_at = now
+    return 0.0
+
+
 def start_trial(
     table: BlameTable,
     fingerprint: data.Fingerprint,
@@ -257,7 +235,7 @@
         now: Monotonic clock, seconds.
     """
     entry = table.entries[fingerprint]
-    if now - entry.tried_at < TRIAL_GAP:
+    if now - entry.tried_at < weighing.TRIAL_GAP:
         return False
     if routing.rank_nodes(nodes, f'trial/{fingerprint}')[0] != own:
         return False
@@ -275,7 +253,7 @@
 
 def list_reports(
     table: BlameTable, limit: int, now: float
-) -> list[tuple[ReplicaReport, float]]:
+) -> list[tuple[weighing.ReplicaReport, float]]:
     """Lists the reports to send to another node, with their seconds.
 
     Ends that an answer has voided are left out. Convicted requests come
@@ -288,12 +266,12 @@
     """
     listed = []
     for entry in table.entries.values():
-        ends = _list_valid(entry, now)
+        ends = weighing.list_valid(entry.reports, now)
         if ends:
             answers = [
                 (report, at)
                 for report, at in entry.reports.items()
-                if report.kind is ReportKind.ANSWERED
+                if report.kind is weighing.ReportKind.ANSWERED
             ]
             newest = max(at for _, at in ends)
             listed.append((bool(entry.convicted), newest, answers + ends))
@@ -308,7 +286,7 @@
     """Counts the requests of each state, for metrics."""
     counts = {data.SuspectState.SUSPECT: 0, data.SuspectState.CONVICTED: 0}
     for entry in table.entries.values():
-        ends = _list_valid(entry, now)
+        ends = weighing.list_valid(entry.reports, now)
         if entry.convicted:
             counts[data.SuspectState.CONVICTED] += 1
         elif ends:
@@ -319,14 +297,8 @@
 def expire_reports(table: BlameTable, now: float) -> None:
     """Drops what no longer counts."""
     for fingerprint, entry in list(table.entries.items()):
-        ends = _list_valid(entry, now)
-        if ends:
-            valid = dict(ends)
-            entry.reports = {
-                report: at
-                for report, at in entry.reports.items()
-                if report.kind is ReportKind.ANSWERED or report in valid
-            }
+        if weighing.list_valid(entry.reports, now):
+            _drop_voided(entry, now)
         elif now >= entry.watched_until:
             del table.entries[fingerprint]
     table.by_replica.clear()
@@ -336,6 +308,16 @@
             prints.add(fingerprint)
 
 
+def _drop_voided(entry, now):
+    """Drops the ends that no longer count."""
+    valid = dict(weighing.list_valid(entry.reports, now))
+    entry.reports = {
+        report: at
+        for report, at in entry.reports.items()
+        if report.kind is weighing.ReportKind.ANSWERED or report in valid
+    }
+
+
 def _find_entry(table, fingerprint, now):
     entry = table.entries.get(fingerprint)
     if entry is None:
@@ -367,103 +349,22 @@
     if report in entry.reports or len(entry.reports) < MAX_REPORTS:
         entry.reports[report] = at
     return any(
-        other.kind is ReportKind.ENDED
+        other.kind is weighing.ReportKind.ENDED
         and other.service == report.service
         and known < ended_at <= at
         for other, ended_at in entry.reports.items()
     )
 
 
-def _find_answered(entry, caller):
-    """Finds the newest answer of each service to a caller, or to any."""
-    answered = {}
-    for report, at in entry.reports.items():
-        if report.kind is ReportKind.ANSWERED:
-            if caller is None or report.caller == caller:
-                known = answered.get(report.service, at)
-                answered[report.service] = max(known, at)
-    return answered
-
-
-def _list_valid(entry, now):
-    """Lists the ends that count for their own caller."""
-    callers = {report.caller for report in entry.reports}
-    return [
-        end for caller in callers for end in _list_ends(entry, caller, now)
-    ]
-
-
-def _list_ends(entry, caller, now):
-    """Lists the ends that count, of one caller or of all."""
-    answered = _find_answered(entry, caller)
-    return [
-        (report, at)
-        for report, at in entry.reports.items()
-        if report.kind is ReportKind.ENDED
-        and (caller is None or report.caller == caller)
-        and at > answered.get(report.service, float('-inf'))
-        and now - at <= REPORT_TIME
-    ]
-
-
-def _is_cause(table, ends, now):
-    """Tells whether the ends are enough, and not of rivals as well."""
-    if not _is_enough(ends, now):
-        return False
-    rivals = _list_rivals(table, ends, now)
-    alone = [end for end in ends if not _share_end([end], sum(rivals, []))]
-    most = _count_requests(ends) - MIN_LEAD
-    return _is_enough(alone, now) or all(
-        _count_requests(rival) <= most for rival in rivals
-    )
-
-
-def _is_enough(ends, now):
-    """Tells whether ends of one request could not come by chance."""
-    by_service, count = {}, 0
-    for report, at in ends:
-        if now - at >= SETTLE_TIME:
-            by_service.setdefault(report.service, []).append((report, at))
-            count += 1
-    return count >= MIN_ENDS and any(
-        _count_requests(found) >= MIN_REQUESTS for found in by_service.values()
-    )
-
-
-def _list_rivals(table, ends, now):
-    """Lists the ends of each other request that shares some of these."""
-    (fingerprint,) = {report.fingerprint for report, _ in ends}
+def _list_rivals(table, fingerprint, ends, now):
+    """Lists the ends of each other request at the same replicas."""
+    if len(ends) < weighing.MIN_ENDS:
+        return []
     others = set().union(
         *(table.by_replica.get(report.replica_id, ()) for report, _ in ends)
     )
-    found = [
-        _list_valid(table.entries[other], now)
+    return [
+        weighing.list_valid(table.entries[other].reports, now)
         for other in others - {fingerprint}
         if other in table.entries
     ]
-    return [rival for rival in found if _share_end(ends, rival)]
-
-
-def _find_pause(ends):
-    doublings = max(0, len(ends) - MIN_ENDS)
-    return min(TRIAL_LIMIT, TRIAL_FIRST * 2.0**doublings)
-
-
-def _share_end(ends, others):
-    return any(
-        report.replica_id == other.replica_id
-        and abs(at - other_at) <= SAME_END_TIME
-        for report, at in ends
-        for other, other_at in others
-    )
-
-
-def _count_requests(ends):
-    """Counts the requests that met ends, and repeats under one id."""
-    last, count = {}, 0
-    for report, at in sorted(ends, key=lambda end: end[1]):
-        known = last.get(report.request_id)
-        if known is None or at - known > SAME_REQUEST_TIME:
-            count += 1
-        last[report.request_id] = at
-    return count
--- a/citronweir/core/_blame_test.py
+++ b/citronweir/core/_blame_test.py
@@ -9,6 +9,7 @@
 
 from citronweir import core
 from citronweir.core import _blame as blame
+from citronweir.core import _ends as ends
 
 REQ = core.HttpRequest(
     core.RequestId('id'), 'GET', 'a.example', '/a/x?y=1', (), b'', 1.0
@@ -37,7 +38,7 @@
 
 def _judge(table, now, caller=CALLER):
     """Judges once the reports of a moment ago count."""
-    now += blame.SETTLE_TIME
+    now += ends.SETTLE_TIME
     judgement = core.judge_request(table, PRINT, caller, now)
     return None if judgement is None else judgement.state
 
@@ -96,11 +97,11 @@
 
 def test_replicas_that_fail_together_convict_no_request():
     """Guards a request over shards that meets the loss of a rack."""
-    ends = [
+    found = [
         (_make_end(number, service=f's{number}', request='r'), 1.0)
         for number in range(20)
     ]
-    table = _make_table(*ends)
+    table = _make_table(*found)
     assert _judge(table, 1.0) is SUSPECT
     # Its repeat meets another end, at a service that was not hit before.
     core.note_report(table, _make_end(20, service='s20'), 2.0, 2.0)
@@ -167,17 +168,17 @@
 
 def test_caller_that_comes_from_many_addresses_is_convicted():
     """Guards replicas where a balancer hides who calls."""
-    ends = [
+    found = [
         (_make_end(number, core.CallerId(f'c{number}')), float(number))
         for number in range(4)
     ]
-    assert _judge(_make_table(*ends), 4.0, core.CallerId('c9')) is CONVICTED
+    assert _judge(_make_table(*found), 4.0, core.CallerId('c9')) is CONVICTED
 
 
 def test_repeats_under_one_id_are_convicted():
     """Guards replicas against a caller that does not change its ids."""
-    ends = [(_make_end(n, request='same'), 2.0 * n) for n in range(3)]
-    assert _judge(_make_table(*ends), 4.0) is CONVICTED
+    found = [(_make_end(n, request='same'), 2.0 * n) for n in range(3)]
+    assert _judge(_make_table(*found), 4.0) is CONVICTED
     together = [(_make_end(n, request='same'), 0.01 * n) for n in range(3)]
     assert _judge(_make_table(*together), 0.1) is SUSPECT
 
@@ -212,6 +213,18 @@
     assert not table.entries
 
 
+def test_suspect_whose_verdict_is_due_goes_one_at_a_time():
+    """Guards replicas against repeats that come before a verdict."""
+    table = _make_table(*((_make_end(n, request='r'), 0.0) for n in range(3)))
+    judgement = core.judge_request(table, PRINT, CALLER, 1.0)
+    assert judgement.state is SUSPECT and judgement.is_due
+    waits = [core.hold_suspect(table, PRINT, 1.0 + n / 10) for n in range(7)]
+    assert waits == pytest.approx([0.0, 0.4, 0.3, 0.2, 0.1, 0.0, 0.4])
+    # An answer ends that, and fewer ends hold nobody up.
+    few = _make_table((_make_end(0), 0.0), (_make_end(1), 0.0))
+    assert not core.judge_request(few, PRINT, CALLER, 1.0).is_due
+
+
 def test_one_node_tries_a_convicted_request_less_and_less_often():
     """Guards a request that met three ends by chance, and the replicas."""
     nodes = [core.NodeId(f'n{number}') for number in range(8)]
@@ -339,4 +352,4 @@
         late = []
         lost += _run_round(table, rng, step, late)
     # Six, and more where they shared the ends of replicas.
-    assert lost <= 2 * 2 * blame.MIN_ENDS
+    assert lost <= 2 * 2 * ends.MIN_ENDS
--- a/citronweir/programs/_front_blame.py
+++ b/citronweir/programs/_front_blame.py
@@ -29,16 +29,35 @@
     after = core.is_convicted(parts.blame, fingerprint, req.caller)
     if before != after:
         _log_verdict(parts, req, fingerprint, after)
-    if not after or now < judgement.until:
+    if judgement is None:
+        return None
+    if not after:
+        return _hold(parts, fingerprint, judgement, now)
+    return _try_again(parts, fingerprint, judgement, now)
+
+
+def _hold(parts, fingerprint, judgement, now):
+    """Lets repeats of a suspect wait until its verdict can be known."""
+    left = 0.0
+    if judgement.is_due:
+        left = core.hold_suspect(parts.blame, fingerprint, now)
+    if not left:
+        return judgement
+    return dataclasses.replace(
+        judgement, state=core.SuspectState.CONVICTED, until=now + left
+    )
+
+
+def _try_again(parts, fingerprint, judgement, now):
+    """Lets a convicted request through at one node when a trial is due."""
+    if now < judgement.until:
         return judgement
-    ids = [
-        node.node_id
-        for node in core.list_others(parts.catalogue.nodes, parts.own.node_id)
-    ]
     own = parts.own.node_id
-    if core.start_trial(parts.blame, fingerprint, own, [*ids, own], now):
-        return dataclasses.replace(judgement, state=core.SuspectState.SUSPECT)
-    return judgement
+    others = core.list_others(parts.catalogue.nodes, own)
+    ids = [own, *(node.node_id for node in others)]
+    if not core.start_trial(parts.blame, fingerprint, own, ids, now):
+        return judgement
+    return dataclasses.replace(judgement, state=core.SuspectState.SUSPECT)
 
 
 def note_loss(parts: parts_.FrontParts, req: core.HttpRequest) -> None:
--- a/citronweir/service/_requests.py
+++ b/citronweir/service/_requests.py
@@ -16,7 +16,7 @@
 RETRY_AFTER_START = 0.5  # seconds; a node that waits for its configuration
 RETRY_AFTER_NO_REPLICA = 0.3  # seconds
 RETRY_AFTER_SHED = 0.1  # seconds
-RETRY_AFTER_QUARANTINE = 1.0  # seconds; once a trial is due
+RETRY_AFTER_QUARANTINE = 0.5  # seconds; while a verdict or trial is due
 # The answer leaves this long before the deadline.
 DEADLINE_MARGIN = 0.004  # seconds
 # A hedge is not worth its cost for less time than this.
--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -41,6 +41,8 @@
         ran: Ids of the requests that it worked on.
         cancelled: Requests whose connection closed while they ran.
         poison: Text in the first line of a request that ends the process.
+        poison_delay: Seconds for which such a request runs before that.
+        poison_reply: What the replica has sent of its answer by then.
         down: Seconds from an end to the next start.
         ended_by: Ids of the requests that ended it; empty where it ended by
             itself.
@@ -60,6 +62,8 @@
     max_conns: int = 1000
     open_conns: int = 0
     poison: str = ''
+    poison_delay: float = 0.0
+    poison_reply: bytes = b''
     down: float = 1.0
     ended_by: list[str] = dataclasses.field(default_factory=list)
     server: asyncio.Server | None = None
@@ -127,6 +131,8 @@
     if fault is not Fault.SHED:
         replica.ran.append(headers['X-Request-Id'])
     if replica.poison and replica.poison in line:
+        await asyncio.sleep(replica.poison_delay)
+        writer.write(replica.poison_reply)
         end(replica, headers['X-Request-Id'])
         return False
     if replica.delay and await _is_cut(reader, replica.delay):
--- a/tests/crashing_request_test.py
+++ b/tests/crashing_request_test.py
@@ -148,6 +148,107 @@
         )
 
 
+HEAD = b'HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 9\r\n\r\n'
+FORMS = {
+    'slow': {'poison_delay': 0.3},
+    'cut head': {'poison_reply': HEAD[:30]},
+    'cut body': {'poison_reply': HEAD + b'1234'},
+    'interim': {'poison_reply': b'HTTP/1.1 100 Continue\r\n\r\n'},
+}
+
+
+@pytest.mark.parametrize('form', list(FORMS))
+async def test_each_way_to_end_is_seen(tmp_path, form):
+    """Guards replicas that end late, or in the middle of their answer."""
+    async with _run_fleet(tmp_path, ROUTES['plain'], INNOCENT) as fleet:
+        for state in _list_states(fleet):
+            for name, value in FORMS[form].items():
+                setattr(state, name, value)
+        async with aiohttp.ClientSession() as session:
+            statuses = [
+                await _ask(
+                    fleet,
+                    session,
+                    NODES[number % 3],
+                    f'/a/{POISON}',
+                    f'p{number}',
+                )
+                for number in range(REPEATS)
+            ]
+        await asyncio.sleep(LEARN_TIME)
+        assert _count_ends(fleet) <= MAX_BLAMELESS + MAX_LATER
+        assert set(statuses) <= {502, 503}
+        assert statuses[-1] == 503
+
+
+async def test_repeats_at_all_nodes_at_once_are_refused(tmp_path):
+    """Guards replicas against repeats that are faster than the reports."""
+    async with _run_fleet(tmp_path, ROUTES['gather'], INNOCENT) as fleet:
+        async with aiohttp.ClientSession() as session:
+
+            async def repeat(request_id):
+                await asyncio.gather(
+                    *(
+                        _ask(fleet, session, name, f'/a/{POISON}', request_id)
+                        for name in NODES
+                    )
+                )
+
+            await repeat('first')
+            await asyncio.sleep(LEARN_TIME)
+            before = _count_ends(fleet)
+            # Its caller does not change the id of its repeats.
+            for _ in range(REPEATS):
+                await repeat('again')
+        assert _count_ends(fleet) - before <= MAX_LATER
+
+
+async def test_caller_that_leaves_before_each_end_is_refused(tmp_path):
+    """Guards replicas against a caller that does not wait for answers."""
+    async with _run_fleet(tmp_path, ROUTES['plain'], INNOCENT) as fleet:
+        for state in _list_states(fleet):
+            state.poison_delay = 0.15
+        for number in range(REPEATS):
+            timeout = aiohttp.ClientTimeout(total=0.1)
+            async with aiohttp.ClientSession(timeout=timeout) as session:
+                name = NODES[number % 3]
+                with contextlib.suppress(TimeoutError):
+                    await _ask(
+                        fleet, session, name, f'/a/{POISON}', f'p{number}'
+                    )
+                await asyncio.sleep(REPEAT_PAUSE)
+        await asyncio.sleep(LEARN_TIME)
+        assert _count_ends(fleet) <= MAX_BLAMELESS + MAX_LATER
+
+
+async def test_restarted_node_refuses_what_others_know(tmp_path):
+    """Guards replicas against a node that lost what it knew."""
+    async with _run_fleet(tmp_path, ROUTES['once'], INNOCENT) as fleet:
+        async with aiohttp.ClientSession() as session:
+            for number in range(6):
+                await _ask(
+                    fleet, session, 'n1', f'/a/{POISON}', f'p{number}', 'POST'
+                )
+                await asyncio.sleep(REPEAT_PAUSE)
+            for name in ('n1', 'n2'):
+                fleet.nodes[name].proc.kill()
+                await fleet.nodes[name].proc.wait()
+                await fleets.start_node(fleet, name)
+                await fleets.wait_for(
+                    lambda name=name: fleets.is_ready(fleet, name)
+                )
+            # Others send what they know to one node at random each second.
+            await asyncio.sleep(5 * LEARN_TIME)
+            before = _count_ends(fleet)
+            for number in range(6, 18):
+                name = NODES[number % 3]
+                status = await _ask(
+                    fleet, session, name, f'/a/{POISON}', f'p{number}', 'POST'
+                )
+                assert status == 503
+        assert _count_ends(fleet) == before
+
+
 async def test_requests_are_served_while_replicas_end_by_themselves(tmp_path):
     """Guards requests against the blame for ends that they only witnessed."""
     async with _run_fleet(tmp_path, INNOCENT) as fleet:
