Open the watch of a test with the idle time of the other tests

A run with a pause of 0.4 s of the test's process, whose loop is also the service's, gives the same ('the watch did not open'): the test let the watch open in 0.3 s only. What it checks, that a dead watch ends with the error of its fault, has no time of its own, so nothing is weaker with the 1 s that the other tests use.

--- a/citronweir/metastore/_kv_test.py
+++ b/citronweir/metastore/_kv_test.py
@@ -180,7 +180,7 @@
 async def test_dead_watch_ends_with_an_error(service, faults, fault):
     """Guards against a watch that waits for ever without progress."""
     _, url, session = service
-    async with _watch(service, 0, idle=0.3) as batches:
+    async with _watch(service, 0) as batches:
         assert not (await anext(batches)).pairs
         async with session.post(f'{url}/faults', json=faults):
             pass
