--- a/citronweir/upstreams/_client_test.py
+++ b/citronweir/upstreams/_client_test.py
@@ -324,3 +324,26 @@
         assert isinstance(report.outcome, core.SubAnswer)
         assert report.broken
         assert not report.unreachable
+
+
+async def test_reply_whose_head_is_cut_is_no_answer():
+    """Guards against an empty success of an upstream that stopped.
+
+    The connection ends after each fourth byte of the head.
+    """
+    whole = _http(_answer('q1'))
+
+    def close(number):
+        raise ConnectionResetError
+
+    for size in range(1, whole.index(b'\r\n\r\n') + 4, 4):
+        head = whole[:size]
+        async with _raw_server(lambda number, head=head: head, close) as (
+            pools,
+            replica,
+            _,
+        ):
+            report = await upstreams.send_search(
+                pools, replica, _search(budget=AMPLE)
+            )
+        assert not isinstance(report.outcome, core.SubAnswer), head
