Convict requests that crash replicas together, and no harmless retry

Change: four unshared crashes are needed if each repeat also shares one with a likely cause; six crashed repeats in a row convict whatever else was running.

--- a/citronweir/core/_crash_cause.py
+++ b/citronweir/core/_crash_cause.py
@@ -22,6 +22,11 @@
 # Crashes before a request counts as their cause. The platform limits repeats
 # from the third crash on.
 MIN_CRASHES = 3
+# The same for crashes that it shares with no other candidate, if each of its
+# repeats also met one that it shares with a likely cause. That one explains
+# why the repeat was retried, and three retries in a row can meet unrelated
+# crashes.
+MIN_UNSHARED_CRASHES = 4
 # Distinct requests that met a crash at the same service: the attempts of a
 # single one may meet several replicas that fail together.
 MIN_REQUESTS = 2
@@ -31,6 +36,10 @@
 # Repeats are compared, not crashes, as a request that may be retried can meet
 # several crashes in each repeat.
 MIN_LEAD = 2
+# Crashed repeats in a row, without an answer between them, after which a
+# request is a cause whatever else was running. Two requests that crash the
+# same replicas together have no lead over each other.
+MAX_UNANSWERED_REPEATS = 6
 # A crash counts after this time, when the reports of other nodes and about
 # other requests at the replica have arrived.
 SETTLE_TIME = 0.25  # seconds
@@ -144,32 +153,32 @@
     """
     if not has_enough_crashes(crashes, now):
         return False
-    candidates, shared = [], {}
-    for other in others:
-        if any(
-            _is_same_crash(crash, _group_by_replica(other))
-            for crash in crashes
-        ):
-            candidates.append(other)
-            for replica_id, times in _group_by_replica(other).items():
-                shared.setdefault(replica_id, []).extend(times)
-    unshared = [
-        crash for crash in crashes if not _is_same_crash(crash, shared)
-    ]
+    if count_requests(crashes) >= MAX_UNANSWERED_REPEATS:
+        return True
+    candidates = [other for other in others if _list_shared(crashes, (other,))]
+    shared = _list_shared(crashes, candidates)
+    unshared = [crash for crash in crashes if crash not in shared]
     max_requests = count_requests(crashes) - MIN_LEAD
-    return has_enough_crashes(unshared, now) or all(
+    min_unshared = MIN_CRASHES
+    if _are_all_explained(crashes, candidates, now):
+        min_unshared = MIN_UNSHARED_CRASHES
+    return has_enough_crashes(unshared, now, min_unshared) or all(
         count_requests(candidate) <= max_requests for candidate in candidates
     )
 
 
-def has_enough_crashes(crashes: abc.Iterable[TimedReport], now: float) -> bool:
+def has_enough_crashes(
+    crashes: abc.Iterable[TimedReport],
+    now: float,
+    min_crashes: int = MIN_CRASHES,
+) -> bool:
     """Returns whether one request has too many crashes for a coincidence."""
     by_service, count = {}, 0
     for report, at in crashes:
         if now - at >= SETTLE_TIME:
             by_service.setdefault(report.service, []).append((report, at))
             count += 1
-    return count >= MIN_CRASHES and any(
+    return count >= min_crashes and any(
         count_requests(found) >= MIN_REQUESTS for found in by_service.values()
     )
 
@@ -191,6 +200,24 @@
     return min(MAX_TRIAL_DELAY, FIRST_TRIAL_DELAY * 2.0**doublings)
 
 
+def _are_all_explained(crashes, candidates, now):
+    """Returns whether each repeat shares a crash with a likely cause."""
+    likely = [item for item in candidates if has_enough_crashes(item, now)]
+    explained = {
+        report.request_id for report, _ in _list_shared(crashes, likely)
+    }
+    return all(report.request_id in explained for report, _ in crashes)
+
+
+def _list_shared(crashes, others):
+    """Lists the crashes at which one of some other requests was running."""
+    times = {}
+    for other in others:
+        for replica_id, found in _group_by_replica(other).items():
+            times.setdefault(replica_id, []).extend(found)
+    return [crash for crash in crashes if _is_same_crash(crash, times)]
+
+
 def _group_by_replica(crashes):
     """Maps each replica to the times at which it crashed."""
     times = {}
--- a/citronweir/core/_crash_reports_test.py
+++ b/citronweir/core/_crash_reports_test.py
@@ -363,9 +363,9 @@
     return crash_count
 
 
-# With the last three of 10,001 seeds, a harmless request is refused; see
-# KNOWN-RED.txt.
-@pytest.mark.parametrize('seed', [*range(50), 6157, 6406, 6780])
+# In the last three seeds a harmless request meets crashes in three retries in a
+# row. In 77 and 310 the two crashing requests keep meeting at one replica.
+@pytest.mark.parametrize('seed', [*range(50), 64, 77, 310, 6157, 6406, 6780])
 def test_crashing_requests_are_refused_and_harmless_ones_served(seed):
     """Guards replicas against crashing requests, and harmless requests.
 
