Accept a connection that was established during a pause

Callers saw: a request declined as unreachable although its replica was fine. Cause: after a pause of the process the connect timeout and the established connection are due together, and the timeout ended first, since asyncio needs some rounds of the loop to hand the connection over.

Ruled out: replies, whose bytes are processed before timers in the same round of the loop.

Change: one more short wait before the connection counts as failed. The new test fails without it.

--- a/citronweir/upstreams/_channels.py
+++ b/citronweir/upstreams/_channels.py
@@ -17,6 +17,10 @@
 
 # A connection that is not established within this time counts as failed.
 CONNECT_TIMEOUT = 0.5  # seconds
+# A process that was paused or delayed finds the timeout expired together with
+# the established connection, which asyncio takes some rounds of the event
+# loop to hand over.
+CONNECT_RESUME_TIME = 0.02  # seconds
 # An idle connection is not reused this close to its keep-alive timeout,
 # since the replica may close it while the request is in transit.
 KEEP_ALIVE_MARGIN = 0.5  # seconds
@@ -307,20 +311,27 @@
     loop = asyncio.get_running_loop()
     on_idle_loss = functools.partial(_handle_idle_loss, channels, channel)
     conn, is_refused = None, False
+    opening = loop.create_task(
+        loop.create_connection(
+            functools.partial(
+                exchanges.Connection, on_idle_loss, channels.buffered
+            ),
+            channel.address.host,
+            channel.address.port,
+        )
+    )
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT):
-            _, conn = await loop.create_connection(
-                functools.partial(
-                    exchanges.Connection, on_idle_loss, channels.buffered
-                ),
-                channel.address.host,
-                channel.address.port,
-            )
+        await asyncio.wait((opening,), timeout=CONNECT_TIMEOUT)
+        if not opening.done():
+            await asyncio.wait((opening,), timeout=CONNECT_RESUME_TIME)
+        if opening.done():
+            _, conn = opening.result()
     except ConnectionRefusedError:
         is_refused = True
-    except (OSError, TimeoutError):
+    except OSError:
         pass
     finally:
+        opening.cancel()
         channel.opening -= 1
         is_open = conn is not None and not conn.is_closed
         if not is_open:
--- a/citronweir/upstreams/_channels_test.py
+++ b/citronweir/upstreams/_channels_test.py
@@ -9,6 +9,7 @@
 from citronweir import core
 from citronweir import platform
 from citronweir import upstreams
+from citronweir.upstreams import _channels as channels
 from fakes import platform_replica as replicas
 
 RECORDS = b'0123456789abcdef' * 3
@@ -124,6 +125,18 @@
             assert outcome.reply.body == RECORDS
 
 
+async def test_pause_while_connecting_fails_no_request():
+    """Guards against a timeout that fires before an established connection.
+
+    Both are due when a process continues after a pause.
+    """
+    async with _run(replicas.Replica('i-1', RECORDS)) as client:
+        future, _ = _submit(client, _request(), seconds=5.0)
+        await asyncio.sleep(0)  # the connection is being opened
+        time.sleep(1.1 * channels.CONNECT_TIMEOUT)
+        assert isinstance(await future, core.Replied)
+
+
 async def test_replica_of_another_identity_does_not_run_the_request():
     """Guards against a request to another service at a reused address."""
     replica = replicas.Replica('i-2', RECORDS)
