Bound the replicas of a shard that two nodes may reach for one request

Cause: a node that queries a group for another one may hedge within its region, and the node that asked it sends its own attempt when the group is late. Each kept to its own count; with three replicas of the shard they need not overlap.

Ruled out: halving the attempts between the two nodes, which leaves the queried node without a hedge where two attempts are allowed; sending the replicas along, at 32 shards a query.

Change: both nodes derive the same set of replicas, at most as many as the route allows, from the request id and use no others.

--- a/citronweir/core/__init__.py
+++ b/citronweir/core/__init__.py
@@ -58,6 +58,7 @@
 from citronweir.core._crash_reports import SuspectStatus
 from citronweir.core._crash_reports import throttle_suspect
 from citronweir.core._data import *
+from citronweir.core._delegation import list_excluded
 from citronweir.core._directory import Directory
 from citronweir.core._directory import expire_entries
 from citronweir.core._directory import list_usable
--- a/citronweir/core/_crash_reports_test.py
+++ b/citronweir/core/_crash_reports_test.py
@@ -363,8 +363,8 @@
     return crash_count
 
 
-# In the last three seeds a harmless request meets crashes in three retries in a
-# row. In 77 and 310 the two crashing requests keep meeting at one replica.
+# In the last three seeds a harmless request meets crashes in three retries in
+# a row. In 77 and 310 the two crashing requests keep meeting at one replica.
 @pytest.mark.parametrize('seed', [*range(50), 64, 77, 310, 6157, 6406, 6780])
 def test_crashing_requests_are_refused_and_harmless_ones_served(seed):
     """Guards replicas against crashing requests, and harmless requests.
--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -52,12 +52,13 @@
         usable = core.list_usable(directory, name)
         return core.choose_trial(ctx.loads, usable, tried, time.monotonic())
 
-    def list_remote_replicas(node, name):
-        regions = ctx.locality.regions
-        return frozenset(
-            replica.replica_id
-            for replica in core.list_usable(directory, name)
-            if regions.get(replica.dc) != regions.get(node.dc)
+    def list_excluded(node, name, request_id, max_attempts):
+        return core.list_excluded(
+            core.list_usable(directory, name),
+            ctx.locality.regions,
+            node.dc,
+            request_id,
+            max_attempts,
         )
 
     return service.RequestDependencies(
@@ -79,7 +80,8 @@
         plan_groups=lambda route: nodes.plan_groups(ctx, route),
         choose_owner=lambda owners: nodes.choose_owner(ctx, owners),
         ask_group=lambda node, query: nodes.ask_group(ctx, node, query),
-        list_remote_replicas=list_remote_replicas,
+        list_excluded=list_excluded,
+        own=ctx.own,
         round_trip=lambda node: nodes.estimate_round_trip(ctx, node),
         windows=ctx.windows,
         group_windows=ctx.group_windows,
--- a/citronweir/service/_attempts.py
+++ b/citronweir/service/_attempts.py
@@ -61,8 +61,10 @@
         plan_groups: Groups the shards of a route by the nodes to ask.
         choose_owner: Chooses a node to ask for a group, or returns None.
         ask_group: Asks another node for a group of shards.
-        list_remote_replicas: Lists the replicas of a service outside the
-            region of a node.
+        list_excluded: Lists the replicas of a service that must not be used
+            for a request that a node queries for another one, given that
+            node, the service, the request and its maximum attempts.
+        own: This node.
         round_trip: Returns the expected round-trip time to a node, seconds.
         windows: Latencies by route and data centre of the replica.
         group_windows: Latencies of group queries by route and data centre of
@@ -98,9 +100,11 @@
     ask_group: abc.Callable[
         [core.ListedNode, core.GroupQuery], abc.Awaitable[core.GroupAnswer]
     ]
-    list_remote_replicas: abc.Callable[
-        [core.ListedNode, core.ServiceName], frozenset[core.ReplicaId]
+    list_excluded: abc.Callable[
+        [core.ListedNode, core.ServiceName, core.RequestId, int],
+        frozenset[core.ReplicaId],
     ]
+    own: core.ListedNode
     round_trip: abc.Callable[[core.ListedNode], float]
     windows: LatencyWindows
     group_windows: LatencyWindows
@@ -175,7 +179,8 @@
         calls: Calls to the services from this node.
         reply_count: Number of calls with a usable reply.
         pending_calls: Number of calls that may still get a usable reply.
-        owner: Node that was asked.
+        owner: Node that queries the services for another node: the one that
+            was asked, or this one for a group query.
         query: Pending query to the owner.
         is_delegated: Whether another node may have called the services.
         is_omitted: Whether the group consists of services that are missing
@@ -255,15 +260,17 @@
     """
     group.calls.append(call)
     group.pending_calls += 1
+    if group.owner is not None:
+        # Two nodes may send attempts for the group. They use the same
+        # replicas, so that their number stays within the route's maximum.
+        call.tried |= request.deps.list_excluded(
+            group.owner,
+            call.service,
+            request.req.request_id,
+            request.route.max_attempts,
+        )
     if kind is not core.AttemptKind.FIRST:
-        # The other node may have sent attempts already, to the replicas in
-        # its own region first. More than one attempt from here could exceed
-        # the maximum of the route.
         call.replicas_reached = request.route.max_attempts - 1
-        if group.owner is not None:
-            call.tried |= request.deps.list_remote_replicas(
-                group.owner, call.service
-            )
         _send_next(request, group, call, kind)
         return
     request.deps.earn_tokens(call.service)
--- a/citronweir/service/_requests.py
+++ b/citronweir/service/_requests.py
@@ -116,7 +116,7 @@
         query.due,
         query.deadline,
         asyncio.get_running_loop().create_future(),
-        [attempts.ServiceGroup(shard_positions, route.shards)],
+        [attempts.ServiceGroup(shard_positions, route.shards, owner=deps.own)],
         _check_completion,
         min_parts=max(1, len(shards) - max_missing),
         serial=serial_attempts.make_serial_state(suspect_status),
--- a/citronweir/service/_requests_test.py
+++ b/citronweir/service/_requests_test.py
@@ -155,7 +155,10 @@
         plan_groups=lambda route: scenario.groups,
         choose_owner=lambda owners: owners[0],
         ask_group=ask_group,
-        list_remote_replicas=lambda node, name: frozenset({f'{name}-0'}),
+        list_excluded=lambda node, name, request_id, limit: core.list_excluded(
+            list_usable(name), {}, node.dc, request_id, limit
+        ),
+        own=NODE,
         round_trip=lambda node: 0.016,
         windows=scenario.windows,
         group_windows={},
@@ -398,9 +401,39 @@
     assert outcome.missing == 0
     assert seconds < GATHER.target
     assert scenario.spent == {'s2': 1, 's3': 1}
-    # The node asks the replicas of its own region first, so only those may be
-    # asked directly.
-    assert {name for _, name in scenario.attempts[2:]} == {'s2-1', 's3-1'}
+    assert len(scenario.attempts) == 4
+
+
+@pytest.mark.parametrize('request_id', [f'r{number}' for number in range(8)])
+@pytest.mark.parametrize('replica_count', [2, 3, 5])
+def test_two_nodes_reach_no_more_replicas_than_the_route_allows(
+    replica_count, request_id
+):
+    """Guards a shard that a hanging node hedges and the other one asks too.
+
+    One of four requests ran at three replicas of a shard, where two were
+    allowed, on a simulated day.
+    """
+    req = dataclasses.replace(REQ, request_id=core.RequestId(request_id))
+    slow = {name: [(None, None)] for name in SHARDS}
+    asking = Scenario(
+        groups=GROUPS,
+        answer=(9.0, None),
+        scripts=slow,
+        replica_count=replica_count,
+    )
+    _run(asking, req)
+    asked = Scenario(scripts=slow, replica_count=replica_count)
+    query = core.GroupQuery(1, GATHER.name, (2, 3), req, 0.1, 0.4)
+
+    async def main():
+        return await service.run_group(_make_dependencies(asked), query)
+
+    virtual.run(main)
+    reached = {name for _, name in (*asking.attempts, *asked.attempts)}
+    for name in ('s2', 's3'):
+        count = sum(item.startswith(name) for item in reached)
+        assert count == GATHER.max_attempts
 
 
 def test_group_that_a_node_declined_takes_no_token():
