Bound the replicas of a shard that two nodes may reach: test both choices

The test of the previous commit passed without the bound, because the fake chose the same replicas on both nodes. The two now choose from opposite ends, and it fails without the bound for three and five replicas.

--- a/citronweir/service/_requests_test.py
+++ b/citronweir/service/_requests_test.py
@@ -63,6 +63,7 @@
         expected: Expected latency of each attempt, seconds.
         windows: Latencies that are known beforehand.
         suspect_status: Suspect status of the request, or None.
+        choice_step: 1 to choose the first replica of a service, -1 the last.
         attempts: Time and replica of each attempt.
         earned: Number of requests that earned tokens, by service.
         spent: Number of tokens used, by service.
@@ -81,6 +82,7 @@
     expected: float = 0.01
     windows: dict = dataclasses.field(default_factory=dict)
     suspect_status: core.SuspectStatus | None = None
+    choice_step: int = 1
     attempts: list = dataclasses.field(default_factory=list)
     earned: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
@@ -113,7 +115,7 @@
         )
 
     def choose(name, tried):
-        for replica in list_usable(name):
+        for replica in list_usable(name)[:: scenario.choice_step]:
             if replica.replica_id not in tried:
                 return replica, scenario.expected
         return None
@@ -421,6 +423,7 @@
         answer=(9.0, None),
         scripts=slow,
         replica_count=replica_count,
+        choice_step=-1,
     )
     _run(asking, req)
     asked = Scenario(scripts=slow, replica_count=replica_count)
