Obey what replicas say of themselves in answers: leaving, pauses, load

Callers and replicas saw: a replica whose answers said that it was leaving got 273 requests later than 4 s after that, and replicas that asked for a pause up to 80 requests inside it; the load header of four figures was dropped whole. Cause: nothing read these headers, and the load parser took exactly three figures.

Change, decisions first: - core/_departures.py keeps who said so, by replica id and start, until a later process starts under the id; told to all nodes at once and, every second, to a random one. Stale, lost or returning entries of the store don't bring such a replica back. - core/_pauses.py keeps a refused node's requests away until the end of the pause; then one request is let through, and twice as many with each answer. If no replica may be asked, the request is declined at once with the time left. - Requests that wait for a connection move on without a token. - The load header is decoded into a type with named fields; a malformed one is counted and ignored.

Ruled out: keeping pauses with the observed load of a replica, which is dropped when its entry lapses.

--- a/bench/_soak_checks.py
+++ b/bench/_soak_checks.py
@@ -15,6 +15,10 @@
 # Time until a draining replica receives no new requests and a configuration
 # change is in force (drain_ms and config_apply_ms of the platform).
 APPLY_TIME = 3.0  # seconds
+# Time after a refusal with a pause from which at most MAX_IN_PAUSE requests of
+# the refused node may arrive until its end.
+PAUSE_SLACK = 0.5  # seconds
+MAX_IN_PAUSE = 2
 # Bound on the arrivals of a request after its first one, in a sliding window
 # (retry_ratio, retry_slack and retry_window_s in the nodes' settings).
 EXTRA_RATIO = 0.2
@@ -259,6 +263,45 @@
     return errors
 
 
+def check_pauses(
+    replies: abc.Iterable[Reply],
+    states: abc.Iterable[replicas.Replica],
+    disturbances: abc.Collection[Disturbance],
+) -> list[str]:
+    """Checks that nodes give replicas the pauses that they ask for.
+
+    A disturbance of the node excuses it. Requests without a known node, such
+    as those after the faults, are left out.
+    """
+    nodes = {reply.request_id: reply.node for reply in replies}
+    errors = []
+    for state in states:
+        arrivals = [
+            (at, nodes.get(headers['X-Request-Id']))
+            for at, (_, headers, _) in zip(
+                state.seen_at, state.seen, strict=True
+            )
+        ]
+        for refused_at, request_id, seconds in state.refusals:
+            node, end = nodes.get(request_id), refused_at + seconds
+            count = sum(
+                refused_at + PAUSE_SLACK < at < end and node == sender
+                for at, sender in arrivals
+            )
+            is_excused = node is None or any(
+                item.subject == node
+                and item.start < end
+                and item.end > refused_at
+                for item in disturbances
+            )
+            if count > MAX_IN_PAUSE and not is_excused:
+                errors.append(
+                    f'{state.replica_id} got {count} requests of {node} in'
+                    f' a pause of {seconds} s'
+                )
+    return errors
+
+
 def check_extra_arrivals(
     services: abc.Mapping[str, abc.Iterable[replicas.Replica]],
 ) -> list[str]:
--- a/bench/_soak_checks_test.py
+++ b/bench/_soak_checks_test.py
@@ -127,6 +127,25 @@
     assert bool(errors) == has_errors
 
 
+@pytest.mark.parametrize(
+    'arrivals, disturbance, has_errors',
+    [
+        ([1.4, 1.4, 1.4, 4.1], None, False),
+        ([1.6, 2.0], None, False),
+        ([1.6, 2.0, 3.9], None, True),
+        ([1.6, 2.0, 3.9], ('n1', 1.7, 1.8), False),
+        ([1.6, 2.0, 3.9], ('n2', 1.7, 1.8), True),
+    ],
+)
+def test_requests_in_a_pause_are_found(arrivals, disturbance, has_errors):
+    """Guards replicas that ask for a pause and get none."""
+    state = _state(('q1', 1.0), *(('q1', at) for at in arrivals))
+    state.refusals.append((1.0, 'q1', 3.0))
+    found = [checks.Disturbance(*disturbance)] if disturbance else []
+    errors = checks.check_pauses([_reply()], [state], found)
+    assert bool(errors) == has_errors
+
+
 def test_extra_arrivals_are_counted_in_a_window():
     """Guards against hedges and retries that exceed their budget."""
     frequent = [('q1', number * 0.1) for number in range(60)]
--- a/bench/_soak_faults.py
+++ b/bench/_soak_faults.py
@@ -37,10 +37,14 @@
         version: Configuration version that was written last.
         disturbances: Disturbances that have ended.
         drains: Drains that have ended.
+        departures: Times in which a replica said in answers that it leaves.
+        link_faults: Faults of connections to replicas that have ended.
         errors: Errors that the fault injection itself found.
         busy: Nodes being stopped or paused by a signal, and draining
             replicas.
         is_crashing: Whether replicas also crash at random times.
+        has_notices: Whether replicas also leave or ask for a pause, which
+            only their answers say.
     """
 
     fleet: fleets.Fleet
@@ -50,9 +54,14 @@
         default_factory=list
     )
     drains: list[checks.Drain] = dataclasses.field(default_factory=list)
+    departures: list[checks.Drain] = dataclasses.field(default_factory=list)
+    link_faults: list[checks.Disturbance] = dataclasses.field(
+        default_factory=list
+    )
     errors: list[str] = dataclasses.field(default_factory=list)
     busy: set[str] = dataclasses.field(default_factory=set)
     is_crashing: bool = False
+    has_notices: bool = False
 
 
 def make_routes(version: int) -> list[dict]:
@@ -76,6 +85,8 @@
     repeat a few kinds often.
     """
     kinds = soak_run.rng.sample(FAULTS, soak_run.rng.randint(2, len(FAULTS)))
+    if soak_run.has_notices:
+        kinds += NOTICE_FAULTS
     end = time.monotonic() + seconds
     async with asyncio.TaskGroup() as group:
         active = set()
@@ -219,7 +230,11 @@
 
 async def _disturb_replica_link(soak_run):
     name = soak_run.rng.choice(sorted(soak_run.fleet.replicas))
+    start = time.monotonic()
     await _disturb_link(soak_run, soak_run.fleet.replicas[name].proxy)
+    soak_run.link_faults.append(
+        checks.Disturbance(name, start, time.monotonic())
+    )
 
 
 async def _disturb_link(soak_run, proxy):
@@ -258,6 +273,46 @@
     soak_run.busy.discard(name)
 
 
+async def _leave_replica(soak_run):
+    """Lets a replica say in answers that it leaves, then start again.
+
+    The store lists it as ready all the while.
+    """
+    name = soak_run.rng.choice(sorted(soak_run.fleet.replicas))
+    if name in soak_run.busy:
+        return
+    soak_run.busy.add(name)
+    replica = soak_run.fleet.replicas[name]
+    replica.state.is_leaving = True
+    await asyncio.sleep(soak_run.rng.uniform(2.0, 7.0))
+    if replica.state.left_at is not None:
+        soak_run.departures.append(
+            checks.Drain(name, replica.state.left_at, time.monotonic())
+        )
+    replica.state.is_leaving, replica.state.left_at = False, None
+    replica.born += 1
+    fleets.put_replica(soak_run.fleet, name)
+    soak_run.busy.discard(name)
+
+
+async def _pause_replicas(soak_run):
+    """Lets the replicas of a service refuse requests and ask for a pause."""
+    service = soak_run.rng.choice(fleets.SERVICES)
+    states = [
+        replica.state
+        for replica in soak_run.fleet.replicas.values()
+        if replica.service == service
+    ]
+    for state in soak_run.rng.sample(
+        states, soak_run.rng.randint(1, len(states))
+    ):
+        state.retry_after = f'{soak_run.rng.uniform(0.6, 3.0):.2f}'
+        state.faults += [replicas.Fault.SHED] * 3
+    await asyncio.sleep(soak_run.rng.uniform(1.0, 3.0))
+    for state in states:
+        state.retry_after = ''
+
+
 async def _fail_replica(soak_run):
     name = soak_run.rng.choice(sorted(soak_run.fleet.replicas))
     state = soak_run.fleet.replicas[name].state
@@ -290,3 +345,5 @@
     _fail_replica,
     _change_config,
 )
+# Kept apart, so that a seed without them draws the same faults as before.
+NOTICE_FAULTS = (_leave_replica, _pause_replicas)
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -62,7 +62,11 @@
 
 
 async def run_seed(
-    seed: int, seconds: float, folder: pathlib.Path, crashes: bool = False
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path,
+    crashes: bool = False,
+    notices: bool = False,
 ) -> SoakResult:
     """Runs the soak test with one seed.
 
@@ -73,6 +77,7 @@
         crashes: Whether replicas also crash, both at random times and from
             a request that its caller repeats. Nodes then connect to the
             replicas directly, without proxies.
+        notices: Whether replicas also leave or ask for a pause.
     """
     rng = random.Random(seed)
     routes = faults.make_routes(3)
@@ -80,7 +85,9 @@
     async with fleets.run(
         folder, NODES, routes, faults.GRACE_PERIOD, replica_suffixes, crashes
     ) as fleet:
-        soak_run = faults.SoakRun(fleet, rng, is_crashing=crashes)
+        soak_run = faults.SoakRun(
+            fleet, rng, is_crashing=crashes, has_notices=notices
+        )
         replies, samples = [], []
         callers = [
             asyncio.create_task(_run_caller(soak_run, number, replies))
@@ -124,6 +131,12 @@
         ),
         *checks.check_versions(samples),
         *checks.check_drains(soak_run.drains, states, soak_run.disturbances),
+        *checks.check_drains(
+            soak_run.departures,
+            states,
+            [*soak_run.disturbances, *soak_run.link_faults],
+        ),
+        *checks.check_pauses(replies, states.values(), soak_run.disturbances),
         *checks.check_extra_arrivals(by_service),
         *checks.check_crashes(states.values(), soak_run.disturbances, NODES),
     ]
@@ -244,6 +257,7 @@
     count: int = 1,
     seconds: float = 15.0,
     crashes: bool = False,
+    notices: bool = False,
 ) -> None:
     """Runs consecutive seeds one after another.
 
@@ -252,11 +266,12 @@
         count: Number of seeds.
         seconds: Time for which faults are injected with each seed.
         crashes: Whether replicas also crash.
+        notices: Whether replicas also leave or ask for a pause.
     """
     failed = 0
     for seed in range(first, first + count):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-        result = asyncio.run(run_seed(seed, seconds, folder, crashes))
+        result = asyncio.run(run_seed(seed, seconds, folder, crashes, notices))
         failed += bool(result.errors)
         print(
             f'seed {seed}: {len(result.errors)} errors,'
--- a/bench/soak_test.py
+++ b/bench/soak_test.py
@@ -32,6 +32,13 @@
     assert result.outcomes['200'] > 100
 
 
+async def test_guarantees_hold_while_replicas_leave_or_pause(tmp_path):
+    """Guards replicas that say only in answers that they want no requests."""
+    result = await soak.run_seed(4, 2 * SECONDS, tmp_path, notices=True)
+    assert not result.errors, result.errors
+    assert result.outcomes['200'] > 100
+
+
 @pytest.mark.parametrize('seed', SLOW_SHUTDOWN_SEEDS)
 async def test_stopping_node_exits_within_grace_period(seed, tmp_path):
     """Guards G7: a node that exceeds its grace period is killed mid-work."""
--- a/citronweir/core/__init__.py
+++ b/citronweir/core/__init__.py
@@ -59,9 +59,14 @@
 from citronweir.core._crash_reports import throttle_suspect
 from citronweir.core._data import *
 from citronweir.core._delegation import list_excluded
+from citronweir.core._departures import Departure
+from citronweir.core._departures import expire_departures
+from citronweir.core._departures import has_departed
+from citronweir.core._departures import list_departures
 from citronweir.core._directory import Directory
 from citronweir.core._directory import expire_entries
 from citronweir.core._directory import list_usable
+from citronweir.core._directory import mark_departed
 from citronweir.core._directory import mark_misdirected
 from citronweir.core._directory import mark_registry_restored
 from citronweir.core._directory import remove_entry
@@ -110,6 +115,12 @@
 from citronweir.core._node_list import mark_missing
 from citronweir.core._node_list import NodeList
 from citronweir.core._node_list import upsert_node
+from citronweir.core._pauses import accepts_request
+from citronweir.core._pauses import expire_pauses
+from citronweir.core._pauses import find_pause
+from citronweir.core._pauses import PauseTable
+from citronweir.core._pauses import record_answer_after_pause
+from citronweir.core._pauses import start_pause
 from citronweir.core._placement import AVOID_PENALTY
 from citronweir.core._placement import choose_listed_replica
 from citronweir.core._placement import choose_trial
@@ -120,7 +131,7 @@
 from citronweir.core._placement import is_late
 from citronweir.core._placement import is_stalled
 from citronweir.core._placement import Locality
-from citronweir.core._placement import record_reported_queue
+from citronweir.core._placement import record_reported_load
 from citronweir.core._placement import record_request_abandoned
 from citronweir.core._placement import record_request_answered
 from citronweir.core._placement import record_request_failed
@@ -164,6 +175,7 @@
 from citronweir.core._routes import list_services
 from citronweir.core._routes import RouteIndex
 from citronweir.core._scheduler import cancel
+from citronweir.core._scheduler import cancel_all
 from citronweir.core._scheduler import count_waiting
 from citronweir.core._scheduler import dequeue
 from citronweir.core._scheduler import enqueue
--- a/citronweir/core/_data.py
+++ b/citronweir/core/_data.py
@@ -99,6 +99,8 @@
     PLATFORM_UNAVAILABLE = 'platform_unavailable'
     INVALID_ID = 'invalid_id'
     MISDIRECTED = 'misdirected'
+    LEAVING = 'leaving'
+    PAUSED = 'paused'
 
 
 class UnknownReason(enum.Enum):
@@ -1077,14 +1079,47 @@
     caller: CallerId = CallerId('')
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedLoad:
+    """Load that a replica reported with an answer.
+
+    Attributes:
+        running: Requests that it runs.
+        waiting: Requests in its queue.
+        slots: Requests that it can run at the same time.
+        slowdown: Time that work takes at this moment, as a multiple of the
+            usual time.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaNotice:
+    """What a replica says about itself, whatever it answers.
+
+    Attributes:
+        load: Its load, if reported.
+        is_leaving: Whether it shuts down and wants no more requests.
+        pause: Seconds for which it wants no request from this node, or None.
+        has_malformed_load: Whether the load could not be read.
+    """
+
+    load: ReportedLoad | None = None
+    is_leaving: bool = False
+    pause: float | None = None
+    has_malformed_load: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
     """Complete reply of a replica.
 
     Attributes:
         signature: The replica's proof that the reply is its own, or empty.
-        load: Number of running requests, of waiting requests and of
-            slots, or None if not reported.
         is_closing: Whether the replica closes the connection.
     """
 
@@ -1092,7 +1127,6 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     signature: str = ''
-    load: tuple[int, int, int] | None = None
     is_closing: bool = False
 
 
--- a/citronweir/core/_directory.py
+++ b/citronweir/core/_directory.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from citronweir.core import _data as data
+from citronweir.core import _departures as departure_tables
 
 # Replicas whose entries expired during an outage of the registry register
 # again about two seconds after it; the rest covers the delay of a watch.
@@ -24,6 +25,7 @@
         by_service: Replicas of each service that accept new requests.
         removal_due: Monotonic second at which a removed entry is dropped
             unless its replica has registered again.
+        departures: Replicas that said that they are leaving.
         misdirected: Replicas at whose address another replica answers.
         restored_at: Monotonic second at which the last outage of the
             registry ended.
@@ -38,6 +40,9 @@
     removal_due: dict[data.ReplicaId, float] = dataclasses.field(
         default_factory=dict
     )
+    departures: departure_tables.DepartureTable = dataclasses.field(
+        default_factory=departure_tables.DepartureTable
+    )
     misdirected: set[data.ReplicaId] = dataclasses.field(default_factory=set)
     restored_at: float = -REREGISTRATION_TIME
 
@@ -119,6 +124,29 @@
         _rebuild_service(directory, replica.service)
 
 
+def mark_departed(
+    directory: Directory, departure: departure_tables.Departure, now: float
+) -> bool:
+    """Excludes a replica that said that it is leaving.
+
+    Args:
+        directory: Replicas of all services.
+        departure: Departure that this or another node learned of.
+        now: Monotonic clock, seconds.
+
+    Returns:
+        Whether it was new.
+    """
+    if not departure_tables.merge_departure(
+        directory.departures, departure, now
+    ):
+        return False
+    replica = directory.replicas.get(departure.replica_id)
+    if replica is not None:
+        _rebuild_service(directory, replica.service)
+    return True
+
+
 def _drop(directory, replica_id):
     directory.removal_due.pop(replica_id, None)
     directory.misdirected.discard(replica_id)
@@ -132,4 +160,5 @@
         if replica.service == service
         and replica.state is data.ListedState.READY
         and replica.replica_id not in directory.misdirected
+        and not departure_tables.has_departed(directory.departures, replica)
     )
--- a/citronweir/core/_placement.py
+++ b/citronweir/core/_placement.py
@@ -254,6 +254,8 @@
     load.in_flight.pop(number, None)
 
 
-def record_reported_queue(load: ReplicaLoad, queued: int, now: float) -> None:
+def record_reported_load(
+    load: ReplicaLoad, reported: data.ReportedLoad, now: float
+) -> None:
     """Records the queue length that a replica reported with an answer."""
-    load.queued, load.queued_at = queued, now
+    load.queued, load.queued_at = reported.waiting, now
--- a/citronweir/core/_placement_test.py
+++ b/citronweir/core/_placement_test.py
@@ -132,7 +132,7 @@
     """An outdated queue report must not influence the choice."""
     load = placement.make_load(LOCALITY, NEAR, 0.0)
     idle = placement.expected_time(load, 2, 0.0)
-    core.record_reported_queue(load, 6, 0.0)
+    core.record_reported_load(load, core.ReportedLoad(1, 6, 2), 0.0)
     assert placement.expected_time(load, 2, 0.1) > 2 * idle
     assert placement.expected_time(
         load, 2, placement.QUEUE_REPORT_TTL
--- a/citronweir/core/_scheduler.py
+++ b/citronweir/core/_scheduler.py
@@ -109,6 +109,16 @@
     return expired
 
 
+def cancel_all(queue: RankQueue) -> list[QueueEntry]:
+    """Removes all waiting entries and returns them, in rank order."""
+    entries = [
+        entry for rank in RANK_ORDER for entry in queue.waiting[rank].values()
+    ]
+    for entry in entries:
+        cancel(queue, entry)
+    return entries
+
+
 def cancel(queue: RankQueue, entry: QueueEntry) -> bool:
     """Removes an entry in constant time.
 
--- a/citronweir/nodes/__init__.py
+++ b/citronweir/nodes/__init__.py
@@ -4,6 +4,7 @@
 from citronweir.nodes._calls import call_sub
 from citronweir.nodes._calls import fetch_config
 from citronweir.nodes._calls import send_config
+from citronweir.nodes._calls import send_departures
 from citronweir.nodes._calls import send_gossip
 from citronweir.nodes._calls import send_reports
 from citronweir.nodes._calls import send_suspect
--- a/citronweir/nodes/_calls.py
+++ b/citronweir/nodes/_calls.py
@@ -147,6 +147,15 @@
     return _send_or_queue(links, address, messages.Reports(reports))
 
 
+def send_departures(
+    links: links_.Links,
+    address: core.Address,
+    departures: tuple[core.Departure, ...],
+) -> bool:
+    """Sends the departures of replicas, like ``send_gossip``."""
+    return _send_or_queue(links, address, messages.Departures(departures))
+
+
 def _send_or_queue(links, address, message):
     if links.is_closed:
         return False
--- a/citronweir/nodes/_codec.py
+++ b/citronweir/nodes/_codec.py
@@ -12,6 +12,7 @@
 import msgpack
 
 from citronweir import core
+from citronweir.nodes import _departures as departures
 from citronweir.nodes import _groups as groups
 from citronweir.nodes import _messages as messages
 from citronweir.nodes import _records as records
@@ -334,6 +335,14 @@
             messages.Reports,
             ('reports', reports.encode_reports, reports.decode_reports),
         ),
+        (
+            messages.Departures,
+            (
+                'departures',
+                departures.encode_departures,
+                departures.decode_departures,
+            ),
+        ),
         (messages.Suspect, ('suspect', _encode_suspect, _decode_suspect)),
         (
             messages.Gather,
--- a/citronweir/nodes/_codec_test.py
+++ b/citronweir/nodes/_codec_test.py
@@ -109,6 +109,7 @@
             ),
         )
     ),
+    messages.Departures((core.Departure(core.ReplicaId('i'), core.Epoch(7)),)),
     messages.Suspect(
         core.Suspicion('f', core.SuspectState.CONVICTED, 1.0, 2.0)
     ),
--- a/citronweir/nodes/_groups.py
+++ b/citronweir/nodes/_groups.py
@@ -22,6 +22,8 @@
     core.NotRunReason.MISDIRECTED,
     core.NotRunReason.CANCELLED,
     core.NotRunReason.QUARANTINED,
+    core.NotRunReason.LEAVING,
+    core.NotRunReason.PAUSED,
 )
 _FAILURE_REASONS = (
     core.FailureReason.DEADLINE_PASSED,
--- a/citronweir/nodes/_messages.py
+++ b/citronweir/nodes/_messages.py
@@ -144,6 +144,13 @@
     reports: tuple[tuple[core.ReplicaReport, float], ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departures:
+    """Replicas that said that they are leaving."""
+
+    departures: tuple[core.Departure, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bye:
     """Announces that the listener shuts down.
@@ -169,6 +176,7 @@
     | Group
     | Suspect
     | Reports
+    | Departures
     | Bye
     | core.Gossip
 )
--- a/citronweir/nodes/_server.py
+++ b/citronweir/nodes/_server.py
@@ -57,6 +57,10 @@
     """Drops reports; the owner of a replica determines why it ended."""
 
 
+def _ignore_departures(dc, departures):
+    """Drops departures; probes of the owner find out about them."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Handlers:
     """Callbacks for the messages of other nodes.
@@ -73,6 +77,8 @@
         on_reports: Receives reports about requests at replicas, each with
             the monotonic second of its observation, and the data centre
             of the node that sent them.
+        on_departures: Receives the departures of replicas and the data
+            centre of the node that sent them.
         run_group: Sends a query to a group of shards; cancelled like
             ``run_sub``.
     """
@@ -90,6 +96,9 @@
     on_reports: abc.Callable[
         [core.DataCentre, tuple[tuple[core.ReplicaReport, float], ...]], None
     ] = _ignore_reports
+    on_departures: abc.Callable[
+        [core.DataCentre, tuple[core.Departure, ...]], None
+    ] = _ignore_departures
 
 
 @dataclasses.dataclass(slots=True)
@@ -302,6 +311,8 @@
             handlers.on_suspect(message.record)
         case messages.Reports():
             handlers.on_reports(dc, message.reports)
+        case messages.Departures():
+            handlers.on_departures(dc, message.departures)
         case _ if isinstance(message, core.Gossip):
             handlers.on_gossip(message)
 
--- a/citronweir/platform/_replicas.py
+++ b/citronweir/platform/_replicas.py
@@ -1,6 +1,7 @@
 """Encodes requests to replicas and decodes their replies."""
 
 from collections import abc
+import math
 
 from citronweir import core
 from citronweir import upstreams
@@ -10,6 +11,12 @@
 _SIGNATURE = names.SIGNATURE.lower()
 _REQUEST_ID = names.REQUEST_ID.lower()
 _LOAD = names.LOAD.lower()
+_LEAVING = names.LEAVING.lower()
+_RETRY_AFTER = names.RETRY_AFTER.lower()
+_BUSY_STATUS = 503
+_USUAL_SLOWDOWN = 100.0  # percent
+_MAX_LOAD = 1 << 20  # requests or slots
+_MAX_SLOWDOWN = 1e6  # percent
 _MISDIRECTED_STATUS = 421
 # Response headers that are forwarded to the caller.
 _FORWARDED_HEADERS = ('content-type', 'retry-after')
@@ -78,15 +85,47 @@
             forwarded,
             raw.body,
             signature,
-            _parse_load(headers.get(_LOAD, '')),
             not raw.is_reusable,
         )
     )
 
 
+def decode_notice(raw: upstreams.RawReply) -> core.ReplicaNotice:
+    """Decodes what a replica says about itself in a reply of any status."""
+    headers = raw.headers
+    text = headers.get(_LOAD)
+    load = None if text is None else _parse_load(text)
+    pause = None
+    if raw.status == _BUSY_STATUS and _RETRY_AFTER in headers:
+        pause = _parse_seconds(headers[_RETRY_AFTER])
+    return core.ReplicaNotice(
+        load,
+        headers.get(_LEAVING, '').strip() == '1',
+        pause,
+        text is not None and load is None,
+    )
+
+
 def _parse_load(text):
-    parts = text.split(',')
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    """Parses three counts and, from some replicas, a slowdown in percent."""
+    try:
+        counts = [int(part) for part in text.split(',')[:3]]
+        rest = [float(part) for part in text.split(',')[3:]] or [
+            _USUAL_SLOWDOWN
+        ]
+    except ValueError:
+        return None
+    if len(counts) != 3 or not all(0 <= item <= _MAX_LOAD for item in counts):
+        return None
+    if not 0.0 < rest[0] <= _MAX_SLOWDOWN:
+        return None
+    return core.ReportedLoad(*counts, rest[0] / _USUAL_SLOWDOWN)
+
+
+def _parse_seconds(text):
+    """Parses a delay; dates, negative and infinite values are ignored."""
+    try:
+        seconds = float(text)
+    except ValueError:
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return running, waiting, slots
+    return seconds if 0.0 < seconds < math.inf else None
--- a/citronweir/platform/_replicas_test.py
+++ b/citronweir/platform/_replicas_test.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from citronweir import core
 from citronweir import platform
@@ -67,14 +68,63 @@
     assert not matches({'x-request-id': 'id-0'})
 
 
-@given(st.text())
+def _notice(status=200, **headers):
+    headers = {name.replace('_', '-'): headers[name] for name in headers}
+    return platform.decode_notice(
+        upstreams.RawReply(status, SIGNED | headers, b'x', True)
+    )
+
+
+@given(st.text() | st.from_regex(r'-?[0-9]{1,25}(,-?[0-9.e]{1,25}){0,5}'))
 def test_invalid_load_header_does_not_reject_the_reply(text):
     """Guards against losing a reply because of its load header."""
     outcome = _reply(200, SIGNED | {'x-server-load': text})
     assert isinstance(outcome, core.Replied)
-
-
-def test_load_header_is_decoded():
-    """Guards against confusing queue length and slots."""
-    outcome = _reply(200, SIGNED | {'x-server-load': '3,1,8'})
-    assert outcome.reply.load == (3, 1, 8)
+    notice = _notice(x_server_load=text)
+    assert notice.has_malformed_load == (notice.load is None)
+
+
+@pytest.mark.parametrize(
+    'text, load',
+    [
+        ('3,1,8', core.ReportedLoad(3, 1, 8)),
+        ('3, 1, 8, 100', core.ReportedLoad(3, 1, 8, 1.0)),
+        ('3,1,8,250', core.ReportedLoad(3, 1, 8, 2.5)),
+        ('3,1,8,50,new', None),
+        ('3,1', None),
+        ('3,1,-8', None),
+        ('3,1,8,0', None),
+        ('3,1,8,nan', None),
+    ],
+)
+def test_load_header_is_decoded(text, load):
+    """Guards against confusing queue length, slots and slowdown."""
+    notice = _notice(x_server_load=text)
+    assert notice.load == load
+    assert notice.has_malformed_load == (load is None)
+
+
+def test_leaving_is_read_from_every_answer():
+    """Guards G6 against a replica that leaves without the registry."""
+    for status in (200, 421, 500, 503):
+        assert _notice(status, server_leaving='1').is_leaving
+    assert not _notice().is_leaving
+    assert not _notice(server_leaving='0').is_leaving
+
+
+@pytest.mark.parametrize(
+    'status, text, seconds',
+    [
+        (503, '3', 3.0),
+        (503, '0.25', 0.25),
+        (503, '1e9', 1e9),
+        (200, '3', None),
+        (503, '-1', None),
+        (503, 'nan', None),
+        (503, 'inf', None),
+        (503, 'Fri, 31 Dec 1999 23:59:59 GMT', None),
+    ],
+)
+def test_pause_is_read_from_refusals(status, text, seconds):
+    """Guards a replica that asks for a pause against more requests."""
+    assert _notice(status, retry_after=text).pause == seconds
--- a/citronweir/programs/_compose_front.py
+++ b/citronweir/programs/_compose_front.py
@@ -16,6 +16,7 @@
 from citronweir.programs import _front_context as contexts
 from citronweir.programs import _front_crash_reports as crash_reports
 from citronweir.programs import _front_nodes as front_nodes
+from citronweir.programs import _front_notices as notices
 from citronweir.programs import _front_requests as requests
 from citronweir.programs import _front_store as store
 
@@ -131,6 +132,7 @@
 def _start_tasks(ctx, config_deps):
     async def push():
         crash_reports.push_reports(ctx)
+        notices.push_departures(ctx)
 
     async def sync():
         if ctx.config.ready:
@@ -197,6 +199,8 @@
             'replicas_avoided': sum(
                 core.is_avoided(load, now) for load in ctx.loads.values()
             ),
+            'replicas_departed': len(catalogue.directory.departures.epochs),
+            'replicas_paused': len(ctx.pauses),
             'connections': upstreams.count_conns(ctx.channels),
             'connections_opened': ctx.channels.opened_total,
             'requests_suspected': suspect_counts[core.SuspectState.SUSPECT],
@@ -224,6 +228,8 @@
     now = time.monotonic()
     directory, channels = ctx.catalogue.directory, ctx.channels
     core.expire_entries(directory, now)
+    core.expire_departures(directory.departures, directory.replicas, now)
+    core.expire_pauses(ctx.pauses, now)
     core.expire_nodes(ctx.catalogue.nodes, now)
     ctx.extra.nodes = core.count_nodes(
         ctx.catalogue.nodes,
--- a/citronweir/programs/_front_context.py
+++ b/citronweir/programs/_front_context.py
@@ -29,6 +29,7 @@
             they were made for and the monotonic second of their expiry.
         crash_reports: Requests that ran at replicas when these crashed.
         unsent_reports: Crash reports to send to other nodes next.
+        pauses: Replicas that asked this node for a pause.
         plan_variant: Variant of the cached groups in use.
         last_request_number: Number of the last request to a replica or
             node.
@@ -85,6 +86,7 @@
     unsent_reports: list[tuple[core.ReplicaReport, float]] = dataclasses.field(
         default_factory=list
     )
+    pauses: core.PauseTable = dataclasses.field(default_factory=dict)
     plan_variant: int = 0
     last_request_number: int = 0
     store_lost_at: float | None = None
--- a/citronweir/programs/_front_nodes.py
+++ b/citronweir/programs/_front_nodes.py
@@ -9,6 +9,7 @@
 from citronweir import service
 from citronweir.programs import _front_context as contexts
 from citronweir.programs import _front_crash_reports as crash_reports
+from citronweir.programs import _front_notices as notices
 
 # A round of anti-entropy ends without a result if the peer has not answered
 # within this time.
@@ -58,6 +59,9 @@
         ),
         on_suspect=lambda record: None,
         run_group=run_group,
+        on_departures=lambda dc, departures: notices.receive_departures(
+            ctx, dc, departures
+        ),
         on_reports=lambda dc, reports: crash_reports.receive_reports(
             ctx, dc, reports
         ),
--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -11,6 +11,7 @@
 from citronweir.programs import _front_context as contexts
 from citronweir.programs import _front_crash_reports as crash_reports
 from citronweir.programs import _front_nodes as nodes
+from citronweir.programs import _front_notices as notices
 
 # Relative random spread of the latency estimates. Without it, all nodes would
 # choose the same one of two replicas with similar estimates.
@@ -30,6 +31,24 @@
 # owners use half of them; other nodes, which ask the shard when an owner is
 # lost, use the rest.
 NON_OWNER_FACTOR = 2
+# Reasons that end an attempt before its replica has received it.
+_LOCAL_REASONS = frozenset(
+    {
+        core.NotRunReason.CANCELLED,
+        core.NotRunReason.DEADLINE_PASSED,
+        core.NotRunReason.QUEUE_FULL,
+        core.NotRunReason.LEAVING,
+        core.NotRunReason.PAUSED,
+    }
+)
+# Reasons that are not failures of the replica; they are logged elsewhere.
+_EXPECTED_REASONS = frozenset(
+    {
+        core.NotRunReason.CANCELLED,
+        core.NotRunReason.LEAVING,
+        core.NotRunReason.PAUSED,
+    }
+)
 
 
 def make_request_dependencies(
@@ -42,15 +61,15 @@
         return core.choose_listed_replica(
             ctx.loads,
             ctx.locality,
-            core.list_usable(directory, name),
+            notices.list_available(ctx, name),
             tried,
             time.monotonic(),
             lambda: 1.0 + LATENCY_JITTER * ctx.rng.random(),
         )
 
     def choose_trial(name, tried):
-        usable = core.list_usable(directory, name)
-        return core.choose_trial(ctx.loads, usable, tried, time.monotonic())
+        available = notices.list_available(ctx, name)
+        return core.choose_trial(ctx.loads, available, tried, time.monotonic())
 
     def list_excluded(node, name, request_id, max_attempts):
         return core.list_excluded(
@@ -65,6 +84,7 @@
         now=time.monotonic,
         find_index=lambda: ctx.catalogue.index,
         list_usable=lambda name: core.list_usable(directory, name),
+        find_pause=lambda name: notices.find_pause(ctx, name),
         choose=choose,
         choose_trial=choose_trial,
         send=_make_send(ctx),
@@ -198,11 +218,15 @@
             at = time.monotonic() if lost_at is None else lost_at
             crash_reports.record_crash(ctx, req, replica, at)
 
+        def decode(raw):
+            notices.receive_notice(ctx, replica, platform.decode_notice(raw))
+            return platform.decode_reply(raw)
+
         exchange = upstreams.Exchange(
             route.rank,
             deadline,
             lambda remaining: encode(replica.replica_id, remaining),
-            platform.decode_reply,
+            decode,
             last['is_own_reply'],
             on_outcome,
             route.repeat is core.Idempotency.NON_IDEMPOTENT,
@@ -223,16 +247,13 @@
                 core.record_request_failed(load, number, now)
             else:
                 core.record_request_answered(load, number, now)
-            if reply.load is not None:
-                core.record_reported_queue(load, reply.load[1], now)
+                core.record_answer_after_pause(
+                    ctx.pauses, replica.replica_id, now
+                )
         case core.NotRun(core.NotRunReason.MISDIRECTED):
             core.record_request_abandoned(load, number)
             core.mark_misdirected(ctx.catalogue.directory, replica)
-        case core.NotRun(core.NotRunReason.CANCELLED):
-            core.record_request_abandoned(load, number)
-        case core.NotRun(core.NotRunReason.DEADLINE_PASSED):
-            core.record_request_abandoned(load, number)
-        case core.NotRun(core.NotRunReason.QUEUE_FULL):
+        case core.NotRun(reason) if reason in _LOCAL_REASONS:
             core.record_request_abandoned(load, number)
         case _:
             core.record_request_failed(load, number, now)
@@ -240,7 +261,7 @@
 
 def _log_failure(ctx, req, replica, load, outcome, seconds):
     event = telemetry.Event.REPLICA_FAILED
-    if outcome.reason is core.NotRunReason.CANCELLED:
+    if outcome.reason in _EXPECTED_REASONS:
         return
     if telemetry.may_log(ctx.log_limits, event, time.monotonic()):
         telemetry.log(
--- a/citronweir/service/_attempts.py
+++ b/citronweir/service/_attempts.py
@@ -27,7 +27,12 @@
 # Reasons for which this node never sent the request to the replica. Another
 # attempt then adds no load and needs no token.
 _NEVER_SENT = frozenset(
-    {core.NotRunReason.UNREACHABLE, core.NotRunReason.QUEUE_FULL}
+    {
+        core.NotRunReason.UNREACHABLE,
+        core.NotRunReason.QUEUE_FULL,
+        core.NotRunReason.LEAVING,
+        core.NotRunReason.PAUSED,
+    }
 )
 
 LatencyWindows = dict[
@@ -44,6 +49,8 @@
         find_index: Returns the active routes, or None before a configuration
             has been received.
         list_usable: Lists the replicas of a service that accept new requests.
+        find_pause: Returns the seconds until a replica of a service accepts
+            requests, 0 if one does now.
         choose: Chooses a replica of a service that was not tried yet, and
             returns it with its expected latency in seconds.
         choose_trial: Finds a replica of a service that was slow or failing
@@ -77,6 +84,7 @@
     list_usable: abc.Callable[
         [core.ServiceName], tuple[core.ListedReplica, ...]
     ]
+    find_pause: abc.Callable[[core.ServiceName], float]
     choose: abc.Callable[
         [core.ServiceName, abc.Container[core.ReplicaId]],
         tuple[core.ListedReplica, float] | None,
--- a/citronweir/service/_requests.py
+++ b/citronweir/service/_requests.py
@@ -52,9 +52,8 @@
         return _report(deps, req, route, outcome, started)
     budget = min(req.budget, route.timeout)
     service_groups = _group_services(deps, index, route)
-    reason = _find_refusal_reason(deps, route, service_groups, budget)
-    if reason is not None:
-        outcome = core.Declined(reason, RETRY_AFTER_NO_REPLICA)
+    outcome = _find_refusal(deps, route, service_groups, budget)
+    if outcome is not None:
         return _report(deps, req, route, outcome, started)
     request = attempts.Request(
         deps,
@@ -171,18 +170,24 @@
     ]
 
 
-def _find_refusal_reason(deps, route, service_groups, budget):
-    """Returns the reason why a request cannot be served, or None."""
+def _find_refusal(deps, route, service_groups, budget):
+    """Builds the outcome of a request that cannot be served, else None."""
     if budget <= DEADLINE_MARGIN:
-        return core.NotRunReason.DEADLINE_TOO_SHORT
-    available = sum(
-        1
+        reason = core.NotRunReason.DEADLINE_TOO_SHORT
+        return core.Declined(reason, RETRY_AFTER_NO_REPLICA)
+    # Replicas pause for a single node, so those of other nodes' groups count.
+    pauses = sorted(
+        0.0 if group.owners else deps.find_pause(service)
         for group in service_groups
         for service in group.services
         if deps.list_usable(service)
     )
     needed = core.min_parts(route) if route.shards else 1
-    return core.NotRunReason.NO_REPLICA if available < needed else None
+    if len(pauses) < needed:
+        reason = core.NotRunReason.NO_REPLICA
+        return core.Declined(reason, RETRY_AFTER_NO_REPLICA)
+    left = pauses[needed - 1]
+    return core.Declined(core.NotRunReason.PAUSED, left) if left else None
 
 
 async def _run(request, suspect_status):
@@ -330,7 +335,23 @@
         return _make_failure(request, calls)
     reasons = [call.reason for call in calls if call.reason is not None]
     reason = reasons[0] if reasons else core.NotRunReason.OVERLOADED
-    return core.Declined(reason, RETRY_AFTER_SHED)
+    return core.Declined(reason, _find_retry_delay(request, calls))
+
+
+def _find_retry_delay(request, calls):
+    """Returns the seconds until enough failed calls can be repeated."""
+    pauses = sorted(
+        request.deps.find_pause(call.service)
+        for call in calls
+        if call.reply is None
+    )
+    parts = sum(call.reply is not None for call in calls)
+    needed = 1
+    if request.route.shards:
+        needed = core.min_parts(request.route) - parts
+    if not 0 < needed <= len(pauses):
+        return RETRY_AFTER_SHED
+    return max(RETRY_AFTER_SHED, pauses[needed - 1])
 
 
 def _choose_parts(request):
--- a/citronweir/service/_requests_test.py
+++ b/citronweir/service/_requests_test.py
@@ -64,6 +64,7 @@
         windows: Latencies that are known beforehand.
         suspect_status: Suspect status of the request, or None.
         choice_step: 1 to choose the first replica of a service, -1 the last.
+        pauses: Seconds until a replica accepts requests, by service.
         attempts: Time and replica of each attempt.
         earned: Number of requests that earned tokens, by service.
         spent: Number of tokens used, by service.
@@ -83,6 +84,7 @@
     windows: dict = dataclasses.field(default_factory=dict)
     suspect_status: core.SuspectStatus | None = None
     choice_step: int = 1
+    pauses: dict = dataclasses.field(default_factory=dict)
     attempts: list = dataclasses.field(default_factory=list)
     earned: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
@@ -146,6 +148,7 @@
         now=loop.time,
         find_index=lambda: index,
         list_usable=list_usable,
+        find_pause=lambda name: scenario.pauses.get(name, 0.0),
         choose=choose,
         choose_trial=lambda name, tried: None,
         send=send,
@@ -243,6 +246,44 @@
     assert (seconds, scenario.attempts) == (0.0, [])
 
 
+def test_request_is_declined_while_its_replicas_pause():
+    """Guards callers against waiting for replicas that take no request.
+
+    An answer needs three of four shards, so the third pause decides.
+    """
+    pauses = {'s0': 0.5, 's1': 2.0, 's2': 1.0}
+    scenario = Scenario(pauses=pauses)
+    outcome, seconds = _run(scenario)
+    assert outcome == core.Declined(core.NotRunReason.PAUSED, 1.0)
+    assert seconds == 0.0 and not scenario.attempts
+    # The pause of one shard leaves enough of them.
+    outcome, _ = _run(Scenario(pauses={'s1': 2.0}))
+    assert isinstance(outcome, core.Gathered)
+
+
+def test_pauses_of_this_node_do_not_bind_the_group_of_another():
+    """Guards against refusals for shards that another node still reaches."""
+    scenario = Scenario(
+        groups=GROUPS,
+        answer=(0.01, _make_merged('s2', 's3')),
+        pauses={'s2': 1.0, 's3': 1.0},
+    )
+    outcome, _ = _run(scenario)
+    assert isinstance(outcome, core.Gathered)
+
+
+@pytest.mark.parametrize('reason', ['LEAVING', 'PAUSED'])
+def test_request_moves_on_from_a_queue_without_a_token(reason):
+    """Guards requests that waited for a replica which takes no more."""
+    moved = core.NotRun(core.NotRunReason[reason])
+    scenario = Scenario(
+        PLAIN, {'s0': [(0.0, moved), (0.01, _make_reply())]}, tokens=0
+    )
+    outcome, _ = _run(scenario)
+    assert isinstance(outcome, core.Forwarded)
+    assert not scenario.spent
+
+
 def test_request_ends_once_all_shards_failed():
     """A request that can no longer be answered must not wait."""
     outcome, seconds = _run(
--- a/citronweir/telemetry/_events.py
+++ b/citronweir/telemetry/_events.py
@@ -172,6 +172,19 @@
         3008, 'INFO', 'replica {replica} is no longer listed: {detail}'
     )
 
+    REPLICA_LEAVING = EventSpec(
+        3011,
+        'INFO',
+        'replica {replica} of {service}, started at {epoch}, said that it is '
+        'leaving',
+    )
+    REPLICA_PAUSED = EventSpec(
+        3012,
+        'INFO',
+        'replica {replica} of {service} asked for a pause of {seconds} s'
+        '{detail}',
+    )
+
     PLATFORM_UNAVAILABLE = EventSpec(
         4001,
         'WARNING',
--- a/citronweir/upstreams/__init__.py
+++ b/citronweir/upstreams/__init__.py
@@ -7,6 +7,7 @@
 from citronweir.upstreams._channels import close_unlisted
 from citronweir.upstreams._channels import count_conns
 from citronweir.upstreams._channels import Exchange
+from citronweir.upstreams._channels import reject_queued
 from citronweir.upstreams._channels import submit
 from citronweir.upstreams._channels import warm
 from citronweir.upstreams._client import fetch_status
--- a/citronweir/upstreams/_channels.py
+++ b/citronweir/upstreams/_channels.py
@@ -223,6 +223,25 @@
     return True
 
 
+def reject_queued(
+    channels: Channels,
+    replica_id: core.ReplicaId,
+    reason: core.NotRunReason,
+) -> None:
+    """Ends the requests that wait for a connection to a replica.
+
+    Args:
+        channels: Channels of this node.
+        replica_id: Replica that must not get them.
+        reason: Reason that their outcomes state.
+    """
+    channel = channels.by_replica.get(replica_id)
+    if channel is None:
+        return
+    for entry in core.cancel_all(channel.queue):
+        _finish(entry.item, core.NotRun(reason))
+
+
 def warm(channels: Channels, replica: core.ListedReplica, limit: int) -> None:
     """Opens a connection in advance to a replica without one.
 
--- a/citronweir/upstreams/_channels_test.py
+++ b/citronweir/upstreams/_channels_test.py
@@ -137,6 +137,20 @@
         assert isinstance(await future, core.Replied)
 
 
+async def test_queued_requests_leave_a_replica_that_takes_none():
+    """Guards G6: requests that wait for a connection were never sent."""
+    replica = replicas.Replica('i-1', RECORDS, delay=0.1)
+    async with _run(replica, limit=1) as client:
+        futures = [_submit(client, _request(n))[0] for n in range(4)]
+        await asyncio.sleep(0.05)  # the first request is in progress
+        reason = core.NotRunReason.LEAVING
+        upstreams.reject_queued(client.channels, core.ReplicaId('i-1'), reason)
+        outcomes = await asyncio.gather(*futures)
+    assert isinstance(outcomes[0], core.Replied)
+    assert outcomes[1:] == [core.NotRun(reason)] * 3
+    assert len(replica.seen) == 1
+
+
 async def test_replica_of_another_identity_does_not_run_the_request():
     """Guards against a request to another service at a reused address."""
     replica = replicas.Replica('i-2', RECORDS)
--- a/fakes/front_fleet.py
+++ b/fakes/front_fleet.py
@@ -51,12 +51,17 @@
 
 @dataclasses.dataclass(slots=True)
 class Replica:
-    """A replica, its listener and the proxy in front of it."""
+    """A replica, its listener and the proxy in front of it.
+
+    Attributes:
+        born: Wall-clock millisecond of its start.
+    """
 
     service: str
     state: replicas.Replica
     server: asyncio.Server
     proxy: proxies.Proxy
+    born: int = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -137,6 +142,7 @@
         'slots': 2,
         'state': state,
         'sequence': 1,
+        'born': replica.born,
     }
     key = f'servers/{replica_id}'
     stores.put(fleet.store, key, json.dumps(entry).encode())
--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -48,6 +48,11 @@
         cancelled: Number of requests whose connection closed while they
             ran.
         conns: Number of connections opened so far.
+        is_leaving: Whether it says in each response that it is leaving.
+        left_at: Monotonic time of its first response that says so.
+        retry_after: Seconds that its rejections ask for, or empty.
+        refusals: Time, request id and seconds of each rejection that asks
+            for a pause.
         max_conns: Limit of open connections; further ones are reset.
         poison: Text in the request line that crashes the replica.
         poison_delay: Seconds from such a request to the crash.
@@ -69,6 +74,12 @@
     ran: list[str] = dataclasses.field(default_factory=list)
     cancelled: int = 0
     conns: int = 0
+    is_leaving: bool = False
+    left_at: float | None = None
+    retry_after: str = ''
+    refusals: list[tuple[float, str, float]] = dataclasses.field(
+        default_factory=list
+    )
     max_conns: int = 1000
     open_conns: int = 0
     poison: str = ''
@@ -171,10 +182,20 @@
         'X-Server-Stamp': f'{replica.replica_id}.{request_id}',
         'X-Server-Load': '1,0,2',
     }
+    notices = {'Server-Leaving': '1'} if replica.is_leaving else {}
+    if replica.is_leaving and replica.left_at is None:
+        replica.left_at = time.monotonic()
+    signature_headers |= notices
     response = _render(200, signature_headers, replica.records)
     match fault:
         case Fault.SHED:
-            writer.write(_render(503, {'X-Not-Executed': '1'}))
+            notices |= {'X-Not-Executed': '1'}
+            if replica.retry_after:
+                notices |= {'Retry-After': replica.retry_after}
+                seconds = float(replica.retry_after)
+                refusal = (time.monotonic(), request_id, seconds)
+                replica.refusals.append(refusal)
+            writer.write(_render(503, notices))
         case Fault.ERROR:
             writer.write(_render(500, signature_headers))
         case Fault.SILENT:
