Answer the requests that a stopping front node cannot finish

Callers saw a closed connection: an order that came late in the grace period was passed on to a slow replica, and the node cut it when it closed its ingress at four fifths of the period (report of another operator, reproduced by tests/front_test.py, which failed for an order sent 0.3 s and 1.0 s after SIGTERM). Cause: deadlines of requests did not know of the end of the process.

Ruled out: refusing all requests from SIGTERM on; the balancer sends new connections for two more seconds.

Change: a stopping node declines at once, as not run, what has less than twice its latency target left; the deadline of every other request, also for its replica, is at most the end of the grace period less its last sixth, and all requests in progress get their final answer then.

--- a/citronweir/programs/_compose_front.py
+++ b/citronweir/programs/_compose_front.py
@@ -22,10 +22,13 @@
 
 UPKEEP_INTERVAL = 0.25  # seconds
 # Shares of the time between SIGTERM and SIGKILL after which a node starts to
-# close its ingress and after which this must be done. The balancer needs up to
-# two seconds to notice, and requests admitted until then are still finished.
+# close its ingress, ends the requests in progress and must have closed the
+# ingress. The balancer needs up to two seconds to notice, and requests
+# admitted until then are still finished. Replicas may work on them until the
+# last sixth of the time.
 STOP_SERVE_SHARE = 0.6
-STOP_CLOSE_SHARE = 0.8
+STOP_END_SHARE = 0.84
+STOP_CLOSE_SHARE = 0.9
 SYNC_INTERVAL = 1.0  # seconds
 # Delay between reading the store and watching it. Nodes that start together
 # know too few others at first, and most of them would act as watchers.
@@ -118,7 +121,7 @@
     )
     await stopped.wait()
     registration.cancel()
-    await _stop(ctx, ingress)
+    await _stop(ctx, ingress, request_deps)
     for task in tasks:
         task.cancel()
     await nodes.close_server(node_server, LINKS_CLOSE_TIMEOUT)
@@ -149,12 +152,16 @@
     return [asyncio.create_task(coro) for coro in coros]
 
 
-async def _stop(ctx, ingress):
+async def _stop(ctx, ingress, request_deps):
     """Serves until the balancer has noticed, then closes the ingress."""
     boot = ctx.boot
     telemetry.log(telemetry.Event.NODE_STOPPING, node=boot.node_id)
     ctx.is_stopping = ingress.is_stopping = True
     started = time.monotonic()
+    ctx.stop_at = started + boot.termination_grace * STOP_END_SHARE
+    asyncio.get_running_loop().call_at(
+        ctx.stop_at, service.end_requests, request_deps
+    )
     lease = ctx.registration.lease
     if lease is not None:
         # Other nodes stop asking this one once its record is removed.
--- a/citronweir/programs/_front_context.py
+++ b/citronweir/programs/_front_context.py
@@ -1,6 +1,7 @@
 """Defines the state of a front node, which all its wiring shares."""
 
 import dataclasses
+import math
 import random
 
 import aiohttp
@@ -36,6 +37,7 @@
         store_lost_at: Monotonic second since which the store has not
             answered, or None.
         is_stopping: Whether the node received SIGTERM.
+        stop_at: Monotonic second at which the node then ends its requests.
     """
 
     boot: platform.BootSettings
@@ -91,3 +93,4 @@
     last_request_number: int = 0
     store_lost_at: float | None = None
     is_stopping: bool = False
+    stop_at: float = math.inf
--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -102,6 +102,8 @@
         ask_group=lambda node, query: nodes.ask_group(ctx, node, query),
         list_excluded=list_excluded,
         own=ctx.own,
+        find_stop=lambda: ctx.stop_at,
+        open_requests=set(),
         round_trip=lambda node: nodes.estimate_round_trip(ctx, node),
         windows=ctx.windows,
         group_windows=ctx.group_windows,
--- a/citronweir/service/_attempts.py
+++ b/citronweir/service/_attempts.py
@@ -72,6 +72,9 @@
             for a request that a node queries for another one, given that
             node, the service, the request and its maximum attempts.
         own: This node.
+        find_stop: Returns the monotonic second at which this node ends its
+            requests because it is stopping, infinity otherwise.
+        open_requests: Requests in progress.
         round_trip: Returns the expected round-trip time to a node, seconds.
         windows: Latencies by route and data centre of the replica.
         group_windows: Latencies of group queries by route and data centre of
@@ -113,6 +116,8 @@
         frozenset[core.ReplicaId],
     ]
     own: core.ListedNode
+    find_stop: abc.Callable[[], float]
+    open_requests: set['Request']
     round_trip: abc.Callable[[core.ListedNode], float]
     windows: LatencyWindows
     group_windows: LatencyWindows
--- a/citronweir/service/_requests.py
+++ b/citronweir/service/_requests.py
@@ -19,6 +19,10 @@
 RETRY_AFTER_QUARANTINE = 0.5  # a conviction or a trial is pending
 # Time before the deadline at which a request ends.
 DEADLINE_MARGIN = 0.004  # seconds
+RETRY_AFTER_STOP = 0.1
+# A stopping node takes a request only if it has at least this multiple of the
+# route's latency target left.
+STOP_TARGET_FACTOR = 2.0
 # Minimum interval between two hedge timers of a request. Calls that are late
 # within this interval are hedged together.
 MIN_HEDGE_GAP = 0.001  # seconds
@@ -53,6 +57,10 @@
     budget = min(req.budget, route.timeout)
     service_groups = _group_services(deps, index, route)
     outcome = _find_refusal(deps, route, service_groups, budget)
+    stop_at = deps.find_stop()
+    if started + STOP_TARGET_FACTOR * route.target > stop_at:
+        stopping = core.NotRunReason.STOPPING
+        outcome = core.Declined(stopping, RETRY_AFTER_STOP)
     if outcome is not None:
         return _report(deps, req, route, outcome, started)
     request = attempts.Request(
@@ -62,7 +70,7 @@
         index.table.version,
         started,
         started + route.target - core.ANSWER_MARGIN,
-        started + budget - DEADLINE_MARGIN,
+        min(started + budget - DEADLINE_MARGIN, stop_at),
         asyncio.get_running_loop().create_future(),
         service_groups,
         _check_completion,
@@ -113,7 +121,7 @@
         query.version,
         started,
         query.due,
-        query.deadline,
+        min(query.deadline, deps.find_stop()),
         asyncio.get_running_loop().create_future(),
         [attempts.ServiceGroup(shard_positions, route.shards, owner=deps.own)],
         _check_completion,
@@ -130,6 +138,19 @@
     return core.GroupAnswer(outcome, deps.now() - started, missing_positions)
 
 
+def end_requests(deps: attempts.RequestDependencies) -> None:
+    """Ends all requests in progress, as their deadlines do.
+
+    A request that is still open when its process exits gets no answer.
+
+    Args:
+        deps: Dependencies of request handling.
+    """
+    for request in list(deps.open_requests):
+        request.deadline = min(request.deadline, deps.now())
+        _complete(request)
+
+
 def _refuse_convicted(suspect_status, now):
     """Builds the outcome of a request convicted of crashes, else None."""
     if (
@@ -191,6 +212,7 @@
 
 
 async def _run(request, suspect_status):
+    request.deps.open_requests.add(request)
     try:
         _start(request, suspect_status)
         await request.done
@@ -199,6 +221,7 @@
             request.deps.abandon(handle)
         raise
     finally:
+        request.deps.open_requests.discard(request)
         request.is_open = False
         for timer in request.timers:
             timer.cancel()
--- a/citronweir/service/_requests_test.py
+++ b/citronweir/service/_requests_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import math
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -64,6 +65,8 @@
         windows: Latencies that are known beforehand.
         suspect_status: Suspect status of the request, or None.
         choice_step: 1 to choose the first replica of a service, -1 the last.
+        stop_at: Time at which the node ends its requests.
+        open_requests: Requests in progress.
         pauses: Seconds until a replica accepts requests, by service.
         attempts: Time and replica of each attempt.
         earned: Number of requests that earned tokens, by service.
@@ -85,6 +88,8 @@
     suspect_status: core.SuspectStatus | None = None
     choice_step: int = 1
     pauses: dict = dataclasses.field(default_factory=dict)
+    stop_at: float = math.inf
+    open_requests: set = dataclasses.field(default_factory=set)
     attempts: list = dataclasses.field(default_factory=list)
     earned: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
@@ -164,6 +169,8 @@
             list_usable(name), {}, node.dc, request_id, limit
         ),
         own=NODE,
+        find_stop=lambda: scenario.stop_at,
+        open_requests=scenario.open_requests,
         round_trip=lambda node: 0.016,
         windows=scenario.windows,
         group_windows={},
@@ -284,6 +291,34 @@
     assert not scenario.spent
 
 
+def test_stopping_node_declines_what_it_cannot_finish():
+    """Guards G7: a request must not outlive the process that took it."""
+    scenario = Scenario(stop_at=GATHER.target)
+    outcome, seconds = _run(scenario)
+    assert outcome.reason is core.NotRunReason.STOPPING
+    assert seconds == 0.0 and not scenario.attempts
+    late = Scenario(ORDER, {'s0': [(None, None)]}, stop_at=0.3)
+    outcome, seconds = _run(late)
+    assert isinstance(outcome, core.Unanswered)
+    assert seconds == pytest.approx(0.3)
+    assert not late.open_requests
+
+
+def test_requests_in_progress_are_ended():
+    """Guards G7: requests taken before the stop get an answer as well."""
+    scenario = Scenario(ORDER, {'s0': [(None, None)]})
+
+    async def main():
+        deps = _make_dependencies(scenario)
+        running = asyncio.create_task(service.run_request(deps, REQ))
+        await asyncio.sleep(0.05)
+        service.end_requests(deps)
+        return await asyncio.wait_for(running, 0.01)
+
+    outcome = virtual.run(main)
+    assert outcome == core.Unanswered(core.FailureReason.DEADLINE_PASSED)
+
+
 def test_request_ends_once_all_shards_failed():
     """A request that can no longer be answered must not wait."""
     outcome, seconds = _run(
--- a/fakes/front_fleet.py
+++ b/fakes/front_fleet.py
@@ -249,6 +249,7 @@
     path: str = '/a/x',
     request_id: str = 'id',
     session: aiohttp.ClientSession | None = None,
+    deadline: int = 1000,
     **fields,
 ) -> tuple[int, abc.Mapping[str, str], bytes]:
     """Sends a caller's request to a node.
@@ -260,6 +261,7 @@
         request_id: Id of this attempt of the caller.
         session: Client session with separate connections; the fleet's
             session if None.
+        deadline: Milliseconds that the caller waits.
         **fields: Additional arguments of the client's ``request``.
 
     Returns:
@@ -269,7 +271,7 @@
     headers = {
         'Host': 'a.example',
         'X-Request-Id': request_id,
-        'X-Deadline-Ms': '1000',
+        'X-Deadline-Ms': str(deadline),
     }
     method = fields.pop('method', 'GET')
     async with (session or fleet.session).request(
--- a/tests/front_test.py
+++ b/tests/front_test.py
@@ -224,6 +224,38 @@
             assert await fleet.nodes['n1'].proc.wait() == 0
 
 
+@pytest.mark.parametrize('sent_after, statuses', [(0.3, {504}), (1.0, {503})])
+async def test_stopping_node_leaves_no_order_unanswered(
+    tmp_path, sent_after, statuses
+):
+    """Guards G7 where a replica takes longer than the node still runs.
+
+    Orders that came late in the grace period were passed on and then cut.
+    """
+    order = fleets.make_route(
+        path_prefix='/order/',
+        kind='non_idempotent',
+        backend='s0',
+        timeout_ms=9000,
+    )
+    async with fleets.run(tmp_path, routes=[order]) as fleet:
+        for replica in fleet.replicas.values():
+            replica.state.delay = 5.0
+        fleet.nodes['n1'].proc.send_signal(signal.SIGTERM)
+        await asyncio.sleep(sent_after)
+        status, headers, _ = await fleets.send_request(
+            fleet, 'n1', '/order/', method='POST', deadline=9000
+        )
+        assert status in statuses
+        assert await fleet.nodes['n1'].proc.wait() == 0
+        ran = [
+            request_id
+            for replica in fleet.replicas.values()
+            for request_id in replica.state.ran
+        ]
+        assert len(ran) == (status == 504)
+
+
 async def _is_unready(fleet):
     return await fleets.fetch_readiness_status(fleet, 'n1') == 503
 
