Bound the memory that a reply without end can take

Cause: the limits count bytes on the wire, but each chunk was kept as an object of its own, trailer fields have no limit of their number, and 64 MB of buffered replies are twice that while they are read.

Change: the body is one buffer, a reply has at most 256 fields, at which the parser stops, and all replies together buffer at most 32 MB.

--- a/citronweir/upstreams/_exchange.py
+++ b/citronweir/upstreams/_exchange.py
@@ -18,9 +18,12 @@
 MAX_REPLY_BYTES = 8 << 20
 # Bytes read until the head of the reply is complete.
 MAX_HEAD_BYTES = 64 << 10
+# Header and trailer fields of a reply. Each one takes at least ten times its
+# size on the wire.
+MAX_HEADER_FIELDS = 256
 # Bytes of all replies being read; the smallest VMs have 200 MB. While this is
 # exceeded, replies larger than SMALL_REPLY_BYTES are dropped.
-MAX_BUFFERED_BYTES = 64 << 20
+MAX_BUFFERED_BYTES = 32 << 20
 SMALL_REPLY_BYTES = 256 << 10
 _NO_BODY = frozenset({204, 304})
 
@@ -82,7 +85,8 @@
         self.keep_alive: float | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: dict[str, str] = {}
-        self._chunks: list[bytes] = []
+        self._body = bytearray()
+        self._field_count = 0
         self._buffered: BufferedBytes = buffered
         self._size = 0
         self._head_size = 0
@@ -160,11 +164,19 @@
         if self._reply is not None:
             self._has_extra_bytes = True
             return
-        self._headers, self._chunks = {}, []
+        self._headers, self._body = {}, bytearray()
         self._has_head = self._is_close_delimited = False
 
     def on_header(self, name, value):
-        """Stores a header field."""
+        """Stores a header field.
+
+        Raises:
+            ValueError: The reply has too many fields.
+        """
+        self._field_count += 1
+        if self._field_count > MAX_HEADER_FIELDS:
+            # Stops the parser, which reports the error to its caller.
+            raise ValueError(f'more than {MAX_HEADER_FIELDS} header fields')
         if self._reply is None:
             key = name.decode('latin-1').lower()
             self._headers[key] = value.decode('latin-1')
@@ -182,7 +194,7 @@
     def on_body(self, body):
         """Stores a part of the body."""
         if self._reply is None:
-            self._chunks.append(body)
+            self._body += body
 
     def on_message_complete(self):
         """Completes the reply if the message is the one expected."""
@@ -221,6 +233,7 @@
     conn.on_result = None
     conn._buffered.size -= conn._size
     conn._size = 0
+    conn._headers, conn._body = {}, bytearray()
     if not conn.is_closed:
         conn.is_closed = True
         conn.transport.abort()
@@ -230,7 +243,7 @@
     return RawReply(
         conn._parser.get_status_code(),
         conn._headers,
-        b''.join(conn._chunks),
+        bytes(conn._body),
         is_reusable,
     )
 
@@ -244,7 +257,7 @@
 
 def _finish(conn, result):
     conn._buffered.size -= conn._size
-    conn._size = conn._head_size = 0
+    conn._size = conn._head_size = conn._field_count = 0
     on_result, conn.on_result = conn.on_result, None
     if isinstance(result, Loss) or not result.is_reusable:
         close(conn)
--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -18,7 +18,7 @@
     SHED responds that the request was not executed, CUT omits the last
     byte of the response, EXTRA and LATE_EXTRA send the response twice,
     UNFRAMED sends no Content-Length, GARBAGE sends no HTTP, UNSIGNED omits
-    the signature.
+    the signature. The ENDLESS ones send bytes until the caller closes.
     """
 
     NONE = 'none'
@@ -32,6 +32,47 @@
     UNFRAMED = 'unframed'
     GARBAGE = 'garbage'
     UNSIGNED = 'unsigned'
+    ENDLESS_HEAD = 'endless_head'
+    ENDLESS_LINE = 'endless_line'
+    ENDLESS_BODY = 'endless_body'
+    ENDLESS_CHUNKS = 'endless_chunks'
+    ENDLESS_TRAILER = 'endless_trailer'
+    ENDLESS_INTERIM = 'endless_interim'
+
+
+_OK = b'HTTP/1.1 200 OK\r\n'
+_CHUNKED = _OK + b'Transfer-Encoding: chunked\r\n\r\n'
+PIECE_INTERVAL = 0.001  # seconds
+MAX_PIECES = 1 << 12
+PIECE_ITEMS = 1 << 12  # header fields or chunks in a piece
+DISTINCT_PIECES = 64
+
+
+@functools.cache
+def _make_fields(number):
+    names = (f'a{number:x}-{item:x}' for item in range(PIECE_ITEMS))
+    return ''.join(f'{name}: b\r\n' for name in names).encode()
+
+
+def _make_same(piece):
+    return lambda number: piece
+
+
+# For each fault, the first bytes and a function of the number of the piece.
+ENDLESS = {
+    Fault.ENDLESS_HEAD: (_OK, _make_fields),
+    Fault.ENDLESS_LINE: (_OK + b'a: ', _make_same(b'b' * 65536)),
+    Fault.ENDLESS_BODY: (_OK + b'\r\n', _make_same(b'b' * 65536)),
+    Fault.ENDLESS_CHUNKS: (
+        _CHUNKED,
+        _make_same(b'2\r\nbb\r\n' * PIECE_ITEMS),
+    ),
+    Fault.ENDLESS_TRAILER: (_CHUNKED + b'0\r\n', _make_fields),
+    Fault.ENDLESS_INTERIM: (
+        b'',
+        _make_same(b'HTTP/1.1 100 Continue\r\n\r\n' * PIECE_ITEMS),
+    ),
+}
 
 
 @dataclasses.dataclass(slots=True)
@@ -175,6 +216,15 @@
         return False
 
 
+async def _send_without_end(writer, start, make_piece):
+    """Sends bytes until the connection is closed, up to a bound."""
+    writer.write(start)
+    for number in range(MAX_PIECES):
+        writer.write(make_piece(number % DISTINCT_PIECES))
+        await writer.drain()
+        await asyncio.sleep(PIECE_INTERVAL)
+
+
 async def _respond(replica, headers, writer, fault):
     request_id = headers['X-Request-Id']
     signature_headers = {
@@ -224,6 +274,9 @@
         case Fault.GARBAGE:
             writer.write(b'\x00\x01 no answer\r\n\r\n')
             return False
+        case _ if fault in ENDLESS:
+            await _send_without_end(writer, *ENDLESS[fault])
+            return False
         case Fault.UNSIGNED:
             del signature_headers['X-Server-Stamp']
             writer.write(_render(200, signature_headers, replica.records))
