Refuse a request whose attempts were never sent

Callers got 504 for a request, orders included, that had waited for a connection until its deadline and had not run. Cause: an attempt that is removed from its queue at the end still counted as in flight.

Change: attempts that are removed from a queue don't count as in flight. The test fails before the change for both kinds of request.

--- a/citronweir/service/_requests.py
+++ b/citronweir/service/_requests.py
@@ -348,13 +348,11 @@
             return core.merge_parts(route, replies, merged)
     elif replies:
         return core.Forwarded(replies[0])
-    for handle in request.handles:
-        request.deps.cancel_waiting(handle)
+    unsent = sum(map(request.deps.cancel_waiting, request.handles))
     calls = [call for group in request.groups for call in group.calls]
     is_delegated = any(group.is_delegated for group in request.groups)
-    if is_delegated or any(
-        call.is_executed or call.in_flight for call in calls
-    ):
+    in_flight = sum(call.in_flight for call in calls) - unsent
+    if is_delegated or in_flight or any(call.is_executed for call in calls):
         return _make_failure(request, calls)
     reasons = [call.reason for call in calls if call.reason is not None]
     reason = reasons[0] if reasons else core.NotRunReason.OVERLOADED
--- a/citronweir/service/_requests_test.py
+++ b/citronweir/service/_requests_test.py
@@ -67,6 +67,7 @@
         choice_step: 1 to choose the first replica of a service, -1 the last.
         stop_at: Time at which the node ends its requests.
         open_requests: Requests in progress.
+        queued: Handles of attempts that still wait for a connection.
         pauses: Seconds until a replica accepts requests, by service.
         attempts: Time and replica of each attempt.
         earned: Number of requests that earned tokens, by service.
@@ -89,6 +90,7 @@
     choice_step: int = 1
     pauses: dict = dataclasses.field(default_factory=dict)
     stop_at: float = math.inf
+    queued: frozenset = frozenset()
     open_requests: set = dataclasses.field(default_factory=set)
     attempts: list = dataclasses.field(default_factory=list)
     earned: collections.Counter = dataclasses.field(
@@ -158,7 +160,7 @@
         choose_trial=lambda name, tried: None,
         send=send,
         abandon=scenario.abandoned.append,
-        cancel_waiting=lambda handle: False,
+        cancel_waiting=lambda handle: handle in scenario.queued,
         find_suspect_status=lambda req: scenario.suspect_status,
         take_extra=take_extra,
         earn_tokens=lambda name: scenario.earned.update([name]),
@@ -319,6 +321,22 @@
     assert outcome == core.Unanswered(core.FailureReason.DEADLINE_PASSED)
 
 
+@pytest.mark.parametrize('route', [PLAIN, ORDER])
+def test_request_that_was_never_sent_is_refused(route):
+    """Guards G4: callers may repeat an order that waited until its deadline.
+
+    Its attempt still counted as in flight, and the caller got a 504.
+    """
+    scenario = Scenario(
+        route, {'s0': [(None, None)]}, tokens=0, queued=frozenset({'s0-0'})
+    )
+    outcome, _ = _run(scenario)
+    assert isinstance(outcome, core.Declined)
+    in_progress = dataclasses.replace(scenario, queued=frozenset())
+    outcome, _ = _run(in_progress)
+    assert isinstance(outcome, core.Unanswered)
+
+
 def test_request_ends_once_all_shards_failed():
     """A request that can no longer be answered must not wait."""
     outcome, seconds = _run(
