Compress the signatures of group answers between nodes

Most of a group's answer is the signatures of its parts, in hexadecimal digits.

Change: a node that asks says that it reads compressed signatures; the other one then deflates them, with the bounded decoder that configuration batches use. Nodes of earlier versions get plain ones.

--- a/citronweir/nodes/_codec_test.py
+++ b/citronweir/nodes/_codec_test.py
@@ -1,6 +1,7 @@
 """Tests of the encoding of messages between nodes."""
 
 import math
+import random
 import zlib
 
 import hypothesis
@@ -165,6 +166,23 @@
     assert codec.decode(body, 100.0) == message
 
 
+def test_signatures_of_an_answer_travel_compressed():
+    """Guards against needless traffic between regions.
+
+    Nodes of earlier versions don't ask for compressed signatures.
+    """
+    rng = random.Random(1)
+    signatures = tuple(f'{rng.randrange(1 << 64):016x}' for _ in range(30))
+    answer = core.GroupAnswer(core.Gathered(b'', signatures, 0), 0.1)
+    packed = _body(messages.Group(1, answer))
+    plain = _body(messages.Group(1, answer, is_packed=False))
+    assert len(packed) < 0.75 * len(plain)
+    assert codec.decode(packed, 0.0) == codec.decode(plain, 0.0)
+    fields = msgpack.unpackb(_body(messages.Gather(6, QUERY)))
+    del fields['z']
+    assert not codec.decode(msgpack.packb(fields), 0.0).accepts_packed
+
+
 def test_compressed_bytes_of_a_peer_are_bounded():
     """Guards against memory exhaustion by a decompression bomb.
 
--- a/citronweir/nodes/_groups.py
+++ b/citronweir/nodes/_groups.py
@@ -49,6 +49,7 @@
         'c': req.caller,
         'due': max(0.0, query.due - now),
         'left': max(0.0, query.deadline - now),
+        'z': message.accepts_packed,
     }
 
 
@@ -85,7 +86,11 @@
         now + records.check_nonnegative(fields['due']),
         now + left,
     )
-    return messages.Gather(records.check_uint(fields['s']), query)
+    return messages.Gather(
+        records.check_uint(fields['s']),
+        query,
+        records.check_bool(fields.get('z', False)),
+    )
 
 
 def encode_group(message: messages.Group, now: float) -> dict:
@@ -93,7 +98,7 @@
     answer = message.answer
     return {
         's': message.seq,
-        'o': _encode_outcome(answer.outcome),
+        'o': _encode_outcome(answer.outcome, message.is_packed),
         'lat': answer.seconds,
         'a': list(answer.missing_positions),
     }
@@ -116,10 +121,15 @@
     return records.check_str(name), records.check_str(value)
 
 
-def _encode_outcome(outcome):
+def _encode_outcome(outcome, is_packed):
     match outcome:
         case core.Gathered(body, signatures, missing):
-            return [_GATHERED, body, list(signatures), missing]
+            # Signatures are most of the bytes that an answer takes between
+            # regions.
+            packed = list(signatures)
+            if is_packed:
+                packed = records.pack_texts(signatures)
+            return [_GATHERED, body, packed, missing]
         case core.Declined(reason, retry_after):
             position = (
                 _NOT_RUN_REASONS.index(reason)
@@ -143,7 +153,7 @@
             body, signatures, missing, *_ = rest
             return core.Gathered(
                 records.check_bytes(body),
-                tuple(map(records.check_str, records.check_list(signatures))),
+                records.unpack_texts(signatures),
                 records.check_uint(missing),
             )
         case 1:
--- a/citronweir/nodes/_messages.py
+++ b/citronweir/nodes/_messages.py
@@ -112,18 +112,29 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Gather:
-    """Request that the receiver sends to a group of shards."""
+    """Request that the receiver sends to a group of shards.
+
+    Attributes:
+        accepts_packed: Whether the sender reads compressed signatures, which
+            nodes of earlier versions don't.
+    """
 
     seq: int
     query: core.GroupQuery
+    accepts_packed: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Group:
-    """Answer to a Gather."""
+    """Answer to a Gather.
+
+    Attributes:
+        is_packed: Whether its signatures are sent compressed.
+    """
 
     seq: int
     answer: core.GroupAnswer
+    is_packed: bool = dataclasses.field(default=True, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/citronweir/nodes/_records.py
+++ b/citronweir/nodes/_records.py
@@ -5,6 +5,7 @@
 does not know.
 """
 
+from collections import abc
 import functools
 import ipaddress
 import math
@@ -266,6 +267,20 @@
     return tuple(map(decode_config, check_list(value)))
 
 
+def pack_texts(texts: abc.Collection[str]) -> object:
+    """Packs texts and compresses them if that makes them shorter."""
+    packed = msgpack.packb(list(texts))
+    compressed = zlib.compress(packed, COMPRESSION_LEVEL)
+    return compressed if len(compressed) < len(packed) else list(texts)
+
+
+def unpack_texts(value: object) -> tuple[str, ...]:
+    """Unpacks texts; raises RecordError."""
+    if type(value) is bytes:
+        value = _decompress(value)
+    return tuple(map(check_str, check_list(value)))
+
+
 def _decompress(value):
     decompressor = zlib.decompressobj()
     try:
--- a/citronweir/nodes/_server.py
+++ b/citronweir/nodes/_server.py
@@ -350,7 +350,9 @@
         answer = core.GroupAnswer(failed, 0.0)
     if tasks.get(gather.seq) is asyncio.current_task():
         del tasks[gather.seq]
-        _send(stream, messages.Group(gather.seq, answer))
+        _send(
+            stream, messages.Group(gather.seq, answer, gather.accepts_packed)
+        )
 
 
 async def _run_call(server, stream, tasks, call):
