Keep the load and the registration of a node alive through errors

The periodic tasks and the watch were guarded already.

Change: both log the error and try again after a backoff.

--- a/citronweir/service/_config.py
+++ b/citronweir/service/_config.py
@@ -230,18 +230,28 @@
     """
     failures = 0
     while True:
-        for _ in range(START_TRIES):
-            if deps.pick_peer() is None:
-                break
-            if await _load_from_peers(deps, config):
+        try:
+            if await _try_load(deps, config):
                 return
-            await deps.sleep(deps.rng.uniform(0, START_WAIT))
-        if await _load_from_store(deps, config):
-            return
+        except Exception as exc:  # an error must not stop the node's start
+            telemetry.log(
+                telemetry.Event.INTERNAL_ERROR, task='load', error=repr(exc)
+            )
         failures += 1
         await deps.sleep(draw_backoff(deps.rng, failures))
 
 
+async def _try_load(deps, config):
+    """Loads from peers or else from the store; returns whether it did."""
+    for _ in range(START_TRIES):
+        if deps.pick_peer() is None:
+            break
+        if await _load_from_peers(deps, config):
+            return True
+        await deps.sleep(deps.rng.uniform(0, START_WAIT))
+    return await _load_from_store(deps, config)
+
+
 async def sync_config(deps: ConfigDependencies, config: Configuration) -> None:
     """Runs one round of anti-entropy with one peer.
 
--- a/citronweir/service/_config_test.py
+++ b/citronweir/service/_config_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import random
 
 import hypothesis
@@ -436,6 +437,26 @@
     assert key not in node.config.state.records
 
 
+def test_unexpected_error_does_not_end_the_load():
+    """Guards a starting node against an entry that no code expected."""
+    fleet = Fleet()
+    node = fleet.nodes[0]
+    config, failures = configs.Configuration(), [OverflowError(), None]
+    deps = node.deps()
+
+    async def read_all():
+        error = failures.pop(0)
+        if error is not None:
+            raise error
+        return await deps.read_all()
+
+    failing = dataclasses.replace(
+        deps, read_all=read_all, pick_peer=lambda: None
+    )
+    fleet.run(configs.load_config(failing, config))
+    assert config.ready and not failures
+
+
 def test_backoff_is_drawn_from_the_whole_span():
     """Guards against nodes that reconnect in step after an outage."""
     rng = random.Random(1)
--- a/citronweir/service/_registration.py
+++ b/citronweir/service/_registration.py
@@ -11,6 +11,8 @@
 import dataclasses
 import random
 
+from citronweir import telemetry
+
 # At the design size, 7,000 renewals in 5 s are 1,400 reads per second. A
 # renewal counts as a tenth of a read.
 LEASE_TTL = 15.0  # seconds
@@ -70,7 +72,15 @@
         state: State of the registration.
     """
     while True:
-        is_answered = await _renew_or_write(deps, state)
+        try:
+            is_answered = await _renew_or_write(deps, state)
+        except Exception as exc:  # an unregistered node is asked by no other
+            is_answered, state.lease = False, None
+            telemetry.log(
+                telemetry.Event.INTERNAL_ERROR,
+                task='registration',
+                error=repr(exc),
+            )
         wait = CHECK_INTERVAL if is_answered else RETRY_INTERVAL
         await asyncio.sleep(wait * deps.rng.uniform(0.7, 1.3))
 
