Take the caller's round trip from the kernel for the time of an answer

Change: the kernel's smoothed round trip of the connection replaces both figures (6 ms where a system does not tell it), and the measured delay of a node's answers replaces its fixed 4 ms only where it is longer.

Ruled out: the same figures with a smaller constant, since 1 and 3 ms are both in use today.

--- a/citronweir/core/__init__.py
+++ b/citronweir/core/__init__.py
@@ -80,9 +80,9 @@
 from citronweir.core._extra_load import ExtraLoad
 from citronweir.core._extra_load import take_extra
 from citronweir.core._extra_load import update_services
-from citronweir.core._gathering import ANSWER_MARGIN
 from citronweir.core._gathering import decide_gather
 from citronweir.core._gathering import GatherDecision
+from citronweir.core._gathering import LOCAL_MARGIN
 from citronweir.core._gathering import merge_parts
 from citronweir.core._gathering import min_parts
 from citronweir.core._gossip import get_own_member
--- a/citronweir/core/_data.py
+++ b/citronweir/core/_data.py
@@ -1058,6 +1058,10 @@
     stopping: bool
 
 
+# Assumed for a caller whose network round trip is not known.
+DEFAULT_ROUND_TRIP = 0.006  # seconds
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpRequest:
     """Request of a caller that is forwarded to replicas unchanged.
@@ -1067,8 +1071,9 @@
         headers: Headers to forward, without those of the connection.
         budget: Seconds that the caller waits.
         caller: Caller that sent the request, empty if unknown.
-        elapsed: Seconds that the caller has waited at least, in addition to
-            the transit of the request.
+        round_trip: Seconds of a network round trip to the caller.
+        elapsed: Seconds that the caller has waited in addition to the transit
+            of the request.
     """
 
     request_id: RequestId
@@ -1079,6 +1084,7 @@
     body: bytes
     budget: float
     caller: CallerId = CallerId('')
+    round_trip: float = DEFAULT_ROUND_TRIP
     elapsed: float = 0.0
 
 
--- a/citronweir/core/_gathering.py
+++ b/citronweir/core/_gathering.py
@@ -13,11 +13,9 @@
 from citronweir.core import _data as data
 
 RECORD_BYTES = 16  # size of one record of a part
-# Time before the latency target at which an answer is sent. It covers the time
-# that this node's measurement leaves out: the network time to and from the
-# caller, up to 3 ms each way, the merge, and the wait for the event loop
-# before the request was read.
-ANSWER_MARGIN = 0.010  # seconds
+# An answer has to leave this long before its caller needs it. It covers the
+# merge and the wait for the event loop before the request was read.
+LOCAL_MARGIN = 0.004  # seconds
 
 
 class GatherDecision(enum.Enum):
--- a/citronweir/platform/_ingress.py
+++ b/citronweir/platform/_ingress.py
@@ -5,6 +5,8 @@
 import dataclasses
 import math
 import random
+import socket
+import struct
 import time
 import weakref
 
@@ -23,9 +25,13 @@
 # at a cost of 16 ms or more per request.
 MIN_CONN_AGE = 4.0  # seconds
 MAX_CONN_AGE = 8.0  # seconds
-# The caller of the first request on a connection has also waited for the
-# handshake, a round trip of at most 3 ms each way.
-HANDSHAKE_TIME = 0.006  # seconds
+# Longer round trips are cut to this time: the kernel's figure grows much after
+# lost packets.
+MAX_ROUND_TRIP = 0.1  # seconds
+# Offset of the smoothed round trip, in microseconds, in the TCP state of Linux
+# (struct tcp_info), and the size of its part that every kernel has.
+_RTT_OFFSET = 68
+_TCP_INFO_SIZE = 104
 BACKLOG = 1024  # connections waiting to be accepted
 MAX_HEADER_FIELD_BYTES = 65536  # name or value of one header field
 # Used when a request has no valid deadline header.
@@ -57,19 +63,33 @@
 ]
 
 
+@dataclasses.dataclass(slots=True)
+class CallerConnection:
+    """State of a connection of a caller.
+
+    Attributes:
+        round_trip: Seconds of a network round trip to the caller.
+        close_at: Monotonic second from which a response closes it.
+        requests: Requests that it has carried.
+    """
+
+    round_trip: float
+    close_at: float
+    requests: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Ingress:
     """State of the HTTP server for callers.
 
     Attributes:
         is_stopping: Whether every response closes its connection.
-        close_times: Monotonic time, in seconds, from which a response on
-            the connection closes it.
+        conns: State of each connection that has had a request.
     """
 
     runner: web.ServerRunner | None = None
     is_stopping: bool = False
-    close_times: weakref.WeakKeyDictionary[asyncio.Transport, float] = (
+    conns: weakref.WeakKeyDictionary[asyncio.Transport, CallerConnection] = (
         dataclasses.field(default_factory=weakref.WeakKeyDictionary)
     )
 
@@ -97,10 +117,10 @@
     ingress = Ingress()
 
     async def answer(request):
-        is_first = request.transport not in ingress.close_times
-        elapsed = HANDSHAKE_TIME if is_first else 0.0
-        response = await _handle_request(request, handle, limits(), elapsed)
-        if ingress.is_stopping or _is_past_close_time(ingress, request, rng):
+        conn = _find_connection(ingress, request.transport, rng)
+        conn.requests += 1
+        response = await _handle_request(request, handle, limits(), conn)
+        if ingress.is_stopping or time.monotonic() >= conn.close_at:
             response.force_close()
         return response
 
@@ -142,19 +162,34 @@
     await ingress.runner.cleanup()
 
 
-def _is_past_close_time(ingress, request, rng):
-    """Returns whether the response must close the connection."""
-    now, conn = time.monotonic(), request.transport
+def _find_connection(ingress, transport, rng):
+    """Finds or adds the state of a connection."""
+    if transport is None:  # closed meanwhile
+        return CallerConnection(core.DEFAULT_ROUND_TRIP, 0.0)
+    conn = ingress.conns.get(transport)
     if conn is None:
-        return True
-    end = ingress.close_times.get(conn)
-    if end is None:
-        end = now + rng.uniform(MIN_CONN_AGE, MAX_CONN_AGE)
-        ingress.close_times[conn] = end
-    return now >= end
+        age = rng.uniform(MIN_CONN_AGE, MAX_CONN_AGE)
+        conn = CallerConnection(
+            _read_round_trip(transport), time.monotonic() + age
+        )
+        ingress.conns[transport] = conn
+    return conn
+
+
+def _read_round_trip(transport):
+    """Reads the round trip that the kernel has measured, in seconds."""
+    sock = transport.get_extra_info('socket')
+    try:
+        info = sock.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_SIZE
+        )
+        (micros,) = struct.unpack_from('=I', info, _RTT_OFFSET)
+    except (AttributeError, OSError, struct.error):
+        return core.DEFAULT_ROUND_TRIP  # not known on this system
+    return min(MAX_ROUND_TRIP, micros / 1e6)
 
 
-async def _handle_request(request, handle, limits, elapsed):
+async def _handle_request(request, handle, limits, conn):
     request_id = request.headers.get(names.REQUEST_ID)
     if not request_id:
         return web.Response(status=400)
@@ -167,7 +202,7 @@
         if body is None:
             return _reject_large_body()
     return _render_outcome(
-        await handle(_decode_request(request, request_id, body, elapsed))
+        await handle(_decode_request(request, request_id, body, conn))
     )
 
 
@@ -186,7 +221,7 @@
     return response
 
 
-def _decode_request(request, request_id, body, elapsed):
+def _decode_request(request, request_id, body, conn):
     connection_field = request.headers.get('Connection', '').lower()
     excluded = _EXCLUDED_HEADERS.union(
         part.strip() for part in connection_field.split(',') if part.strip()
@@ -208,7 +243,9 @@
         body,
         _parse_timeout(request.headers.get(names.DEADLINE, '')),
         core.CallerId(request.remote or ''),
-        elapsed,
+        conn.round_trip,
+        # The caller of the first request has also waited for the handshake.
+        conn.round_trip if conn.requests == 1 else 0.0,
     )
 
 
--- a/citronweir/service/_requests.py
+++ b/citronweir/service/_requests.py
@@ -69,7 +69,7 @@
         route,
         index.table.version,
         started,
-        _find_due(deps, started + route.target - core.ANSWER_MARGIN, req),
+        _find_due(deps, started + route.target, req),
         min(started + budget - DEADLINE_MARGIN, stop_at),
         asyncio.get_running_loop().create_future(),
         service_groups,
@@ -120,7 +120,7 @@
         route,
         query.version,
         started,
-        _find_due(deps, query.due, query.req),
+        query.due - max(0.0, _find_margin(deps) - core.LOCAL_MARGIN),
         min(query.deadline, deps.find_stop()),
         asyncio.get_running_loop().create_future(),
         [attempts.ServiceGroup(shard_positions, route.shards, owner=deps.own)],
@@ -235,9 +235,15 @@
     return outcome
 
 
-def _find_due(deps, due, req):
-    """Moves a due time forward by what the caller's clock already shows."""
-    return due - req.elapsed - core.find_allowance(deps.answer_delay)
+def _find_due(deps, target_at, req):
+    """Returns when to answer, so that the caller has it at the target."""
+    network = req.round_trip + req.elapsed
+    return target_at - network - _find_margin(deps)
+
+
+def _find_margin(deps):
+    """Returns the seconds that this node itself delays an answer."""
+    return max(core.LOCAL_MARGIN, core.find_allowance(deps.answer_delay))
 
 
 def _start(request, suspect_status):
