--- a/citronweir/platform/_ingress_test.py
+++ b/citronweir/platform/_ingress_test.py
@@ -53,6 +53,33 @@
     assert not names & {'x-hop', 'connection', 'host', 'x-request-id'}
 
 
+async def test_round_trip_of_the_caller_is_measured(monkeypatch):
+    """Guards the time of answers to callers that are near or far.
+
+    Only the caller of the first request has waited for the handshake.
+    """
+    taken = []
+
+    async def handle(req):
+        taken.append(req)
+        return core.NoRoute()
+
+    async def send_two():
+        async with _run(handle) as (session, url, _):
+            for _ in range(2):
+                async with session.get(url, headers=HEADERS) as resp:
+                    assert resp.status == 404
+
+    await send_two()
+    first, second = taken
+    assert 0.0 < first.round_trip < core.DEFAULT_ROUND_TRIP
+    assert first.elapsed == first.round_trip == second.round_trip
+    assert second.elapsed == 0.0
+    monkeypatch.delattr(ingresses.socket, 'TCP_INFO')
+    await send_two()
+    assert taken[2].round_trip == core.DEFAULT_ROUND_TRIP
+
+
 async def test_outcomes_are_rendered():
     """Guards against mixing up "not executed" with unknown outcomes."""
     outcomes = [
