--- a/citronweir/upstreams/_exchange_test.py
+++ b/citronweir/upstreams/_exchange_test.py
@@ -6,6 +6,8 @@
 import struct
 import time
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from citronweir import core
@@ -215,3 +217,68 @@
     assert ends.pop(0).body == BODY
     assert set(ends.values()) == {exchanges.Loss.MALFORMED}
     assert buffered.size == 0
+
+
+class Transport:
+    """Transport that only records whether it was aborted."""
+
+    def __init__(self):
+        self.is_aborted = False
+
+    def write(self, data):
+        pass
+
+    def abort(self):
+        self.is_aborted = True
+
+
+REPLIES = (
+    LENGTH_DELIMITED + BODY,
+    CLOSE_DELIMITED + BODY,
+    CHUNKED + b'10\r\n' + BODY + b'\r\n0\r\n\r\n',
+    CONTINUE + LENGTH_DELIMITED + BODY,
+    OTHER_REQUEST + LENGTH_DELIMITED + BODY,
+    LENGTH_DELIMITED + BODY + LENGTH_DELIMITED + BODY,
+)
+
+
+@hypothesis.settings(max_examples=500)
+@hypothesis.given(
+    st.sampled_from(REPLIES),
+    st.lists(st.tuples(st.integers(0, 300), st.integers(0, 255)), max_size=5),
+    st.lists(st.integers(1, 60), max_size=10),
+    st.booleans(),
+)
+def test_any_bytes_of_a_replica_give_at_most_one_result(
+    raw, changes, sizes, is_ended
+):
+    """Guards a node against an error in the parser of replies.
+
+    The bytes may be changed anywhere and arrive in any pieces.
+    """
+    data = bytearray(raw)
+    for position, value in changes:
+        data[position % len(data)] = value
+    buffered, results = exchanges.BufferedBytes(), []
+    conn = exchanges.Connection(lambda conn: None, buffered)
+    conn.connection_made(Transport())
+    exchanges.start_exchange(
+        conn,
+        b'',
+        platform.make_reply_matcher(REQ.request_id),
+        results.append,
+    )
+    at = 0
+    for size in [*sizes, len(data)]:
+        if at < len(data) and not conn.is_closed:
+            conn.data_received(bytes(data[at : at + size]))
+        at += size
+    if is_ended and not conn.is_closed:
+        conn.eof_received()
+    conn.connection_lost(None)
+    assert len(results) == 1
+    assert buffered.size == 0
+    for result in results:
+        if isinstance(result, upstreams.RawReply):
+            platform.decode_notice(result)
+            platform.decode_reply(result)
