Let the trace test pass over a search that bypassed a delayed node

The test waited until each relay had its owner's span. A node that is delayed for an eighth of a second is bypassed, and its relays never get one: with the second node paused for half a second, a complete search had 5 relays and no owner span. Such a search is allowed; the test takes the next one, and what it checks on the trace that it returns is unchanged.

--- a/fakes/tracing_test.py
+++ b/fakes/tracing_test.py
@@ -142,29 +142,56 @@
 
 
 async def _search_until_relayed(fleet, collector, session):
-    """Searches until a trace has both routes but no hedges or retries."""
+    """Searches until a trace has both routes but no hedges or retries.
+
+    A node that is delayed for an eighth of a second is bypassed, and its
+    hops then have no spans. Such a search is complete, but not the one wanted.
+    """
     for _ in range(MAX_SEARCHES):
-        traceparent, _ = await _post_traced(session, fleet, 'dc1-n0', '01')
+        traceparent, reply = await _post_traced(session, fleet, 'dc1-n0', '01')
 
         async def has_all_spans():
             spans = collectors.find_trace(collector, traceparent)
             counts = collections.Counter(span.name for span in spans)
             return (
                 counts['entry'] == 1
-                and counts['relay'] == counts['owner']
+                and (
+                    counts['relay'] == counts['owner']
+                    or 'direct' in _list_routes(spans)
+                )
                 and counts['upstream'] >= SHARDS
                 and counts['sub_request'] >= SHARDS
             )
 
-        await fleets.wait_for(has_all_spans, 'the spans of all hops')
+        try:
+            await fleets.wait_for(has_all_spans, 'the spans of all hops')
+        except TimeoutError as exc:
+            found = collections.Counter(
+                (span.name, span.node, span.attributes.get('outcome'))
+                for span in collectors.find_trace(collector, traceparent)
+            )
+            raise AssertionError(f'{reply} {found}') from exc
         spans = collectors.find_trace(collector, traceparent)
         kinds = {span.attributes.get('kind', 'first') for span in spans}
         names = collections.Counter(span.name for span in spans)
-        if kinds == {'first'} and 0 < names['relay'] < SHARDS:
+        if (
+            kinds == {'first'}
+            and 'direct' not in _list_routes(spans)
+            and 0 < names['relay'] < SHARDS
+        ):
             return traceparent, spans
     raise AssertionError('no search went through both nodes')
 
 
+def _list_routes(spans):
+    """Returns the routes of a trace's sub-requests."""
+    return {
+        span.attributes['route']
+        for span in spans
+        if span.name == 'sub_request' and 'route' in span.attributes
+    }
+
+
 async def _fetch_upstream_span_ids(session, fleet, traceparent):
     """Returns the span ids that the upstreams received for a trace."""
     span_ids = set()
