--- a/citronweir/service/_requests.py
+++ b/citronweir/service/_requests.py
@@ -16,10 +16,10 @@
 RETRY_AFTER_START = 0.5  # the node has not received its configuration yet
 RETRY_AFTER_NO_REPLICA = 0.3
 RETRY_AFTER_SHED = 0.1
+RETRY_AFTER_STOP = 0.1  # another node answers at once
 RETRY_AFTER_QUARANTINE = 0.5  # a conviction or a trial is pending
 # Time before the deadline at which a request ends.
 DEADLINE_MARGIN = 0.004  # seconds
-RETRY_AFTER_STOP = 0.1
 # A stopping node takes a request only if it has at least this multiple of the
 # route's latency target left.
 STOP_TARGET_FACTOR = 2.0
