Count retries that replicas begin to run in review cases 2 and 3

The rule counts retries that reach replicas; the check counted those that crashed one, which is fewer. The stand-in also ends all runs of a replica process that crashes.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -70,7 +70,7 @@
         await asyncio.sleep(STABLE_WINDOW + 1.0)
         await run_round(LATER_REPEATS)
     return standins.check_crashing_request(
-        platform, STABLE_WINDOW, ALLOWED_RETRIES
+        platform, POISON, STABLE_WINDOW, ALLOWED_RETRIES
     )
 
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -605,30 +605,38 @@
     await asyncio.gather(*tasks)
 
 
-def check_crashing_request(platform, stable_window, allowed_retries):
+def check_crashing_request(platform, text, stable_window, allowed_retries):
     """Returns whether a crashing request reached replicas too often.
 
-    Retries count that reach a replica later than the stable window after the
-    third crash.
+    Retries count that a replica begins to run later than the stable window
+    after the third crash.
+
+    Args:
+        platform: The platform of the case.
+        text: Part of the target of the crashing request.
+        stable_window: Seconds.
+        allowed_retries: Number that the rule allows.
     """
-    record = platform.record
-    crashes = sorted(
-        crash
-        for replica in platform.replicas.values()
-        for crash in replica.crashes
-    )
+    replicas = platform.replicas.values()
+    crashes = sorted(at for replica in replicas for at, _ in replica.crashes)
     counted_from = float('inf')
     if len(crashes) >= 3:
-        counted_from = crashes[2][0] + stable_window
-    late = [request_id for at, request_id in crashes if at > counted_from]
-    text = (
+        counted_from = crashes[2] + stable_window
+    late = {
+        request_id
+        for replica in replicas
+        for at, request_id, target in replica.runs
+        if text in target and at > counted_from
+    }
+    late_crashes = sum(at > counted_from for at in crashes)
+    result = (
         f'{len(crashes)} crashes; retries that reached replicas later than'
-        f' stable_window_ms after the third: {len(set(late))}, with'
-        f' {len(late)} crashes'
+        f' stable_window_ms after the third: {len(late)}, with'
+        f' {late_crashes} crashes'
     )
-    record.add(text)
-    print(text)
-    return len(set(late)) > allowed_retries
+    platform.record.add(result)
+    print(result)
+    return len(late) > allowed_retries
 
 
 def run_case(folder, case):
