Move on the requests that wait for a replica which takes no more

Cause: a request waits for a connection in the queue of one replica. A drain, a removal, a 421 or a new address of the replica took effect for later choices only; the queue was emptied only for a departure or pause that the replica states in an answer. The channel of a former address kept its queue and connections for good.

Ruled out: a late change of the list (no request that came after the drain was late) and hedges (the requests may not be repeated).

Change: the directory reports each replica that stops accepting requests or moves, in the function that rebuilds the list of usable replicas, and the front node ends what was not sent to it as not run. Orders that hold a new connection but are not sent yet are included.

--- a/citronweir/core/_directory.py
+++ b/citronweir/core/_directory.py
@@ -16,6 +16,10 @@
 REREGISTRATION_TIME = 2.3  # seconds
 
 
+def _do_nothing(replica_id):
+    pass
+
+
 @dataclasses.dataclass(slots=True)
 class Directory:
     """Replicas that are registered or may register again shortly.
@@ -29,6 +33,9 @@
         misdirected: Replicas at whose address another replica answers.
         restored_at: Monotonic second at which the last outage of the
             registry ended.
+        on_excluded: Called with each replica that stops accepting new
+            requests or moves to another address, so that requests which
+            wait for it don't reach it later.
     """
 
     replicas: dict[data.ReplicaId, data.ListedReplica] = dataclasses.field(
@@ -45,6 +52,7 @@
     )
     misdirected: set[data.ReplicaId] = dataclasses.field(default_factory=set)
     restored_at: float = -REREGISTRATION_TIME
+    on_excluded: abc.Callable[[data.ReplicaId], None] = _do_nothing
 
 
 def list_usable(
@@ -154,6 +162,7 @@
 
 
 def _rebuild_service(directory, service):
+    known = directory.by_service.get(service, ())
     directory.by_service[service] = tuple(
         replica
         for replica in directory.replicas.values()
@@ -162,3 +171,10 @@
         and replica.replica_id not in directory.misdirected
         and not departure_tables.has_departed(directory.departures, replica)
     )
+    addresses = {
+        replica.replica_id: replica.address
+        for replica in directory.by_service[service]
+    }
+    for replica in known:
+        if addresses.get(replica.replica_id) != replica.address:
+            directory.on_excluded(replica.replica_id)
--- a/citronweir/core/_directory_test.py
+++ b/citronweir/core/_directory_test.py
@@ -112,3 +112,51 @@
             if item.state is core.ListedState.READY
         }
         assert _list_usable_ids(directory) == ready
+
+
+_STEPS = st.sampled_from(
+    ['ready', 'draining', 'remove', 'restore', 'move', 'misdirect', 'depart']
+)
+
+
+def _apply_step(directory, name, step, now):
+    """Applies a step to a replica; a move changes its port."""
+    replica_id = core.ReplicaId(name)
+    known = directory.replicas.get(replica_id)
+    match step:
+        case 'remove':
+            core.remove_entry(directory, replica_id, now)
+        case 'restore':
+            core.mark_registry_restored(directory, now)
+        case 'misdirect' if known is not None:
+            core.mark_misdirected(directory, known)
+        case 'depart':
+            epoch = core.Epoch(int(now))
+            departure = core.Departure(replica_id, epoch)
+            core.mark_departed(directory, departure, now)
+        case 'ready' | 'draining' | 'move':
+            port = int(now) if step == 'move' else 1
+            entry = _make_replica(name, port=port)
+            if step == 'draining':
+                state = core.ListedState.DRAINING
+                entry = dataclasses.replace(entry, state=state)
+            core.update_entry(directory, entry)
+    core.expire_entries(directory, now)
+
+
+@given(st.lists(st.tuples(st.sampled_from('abc'), _STEPS)))
+def test_each_replica_that_takes_no_more_requests_is_reported(steps):
+    """Guards G6: requests waited for replicas that had drained or moved."""
+    reported = []
+    directory = core.Directory(on_excluded=reported.append)
+
+    def read_addresses():
+        usable = core.list_usable(directory, SERVICE)
+        return {item.replica_id: item.address for item in usable}
+
+    for number, (name, step) in enumerate(steps, 2):
+        before, reported[:] = read_addresses(), []
+        _apply_step(directory, name, step, float(number))
+        after = read_addresses()
+        lost = [key for key in before if after.get(key) != before[key]]
+        assert reported == lost
--- a/citronweir/programs/_compose_front.py
+++ b/citronweir/programs/_compose_front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import signal
 import time
@@ -69,7 +70,7 @@
     identity = nodes.Identity(
         own.node_id, own.dc, own.incarnation, cluster_key=b''
     )
-    return contexts.FrontContext(
+    ctx = contexts.FrontContext(
         boot=boot,
         own=own,
         identity=identity,
@@ -86,6 +87,10 @@
         locality=core.Locality(boot.dc, boot.regions),
         log_limits=telemetry.make_log_limits(),
     )
+    ctx.catalogue.directory.on_excluded = functools.partial(
+        notices.move_waiting_requests, ctx
+    )
+    return ctx
 
 
 async def _serve(ctx, stopped):
--- a/citronweir/programs/_front_notices.py
+++ b/citronweir/programs/_front_notices.py
@@ -69,6 +69,27 @@
         nodes.send_departures(ctx.links, node.address, tuple(departures))
 
 
+def move_waiting_requests(
+    ctx: contexts.FrontContext, replica_id: core.ReplicaId
+) -> None:
+    """Moves on the requests that wait for a replica which takes none.
+
+    Args:
+        ctx: State of the node.
+        replica_id: Replica that is draining, leaving or gone, or that has
+            moved to another address.
+    """
+    count = upstreams.reject_queued(
+        ctx.channels, replica_id, core.NotRunReason.LEAVING
+    )
+    if not count:
+        return
+    telemetry.count(ctx.counters, 'requests_moved', count)
+    event = telemetry.Event.REQUESTS_MOVED
+    if telemetry.may_log(ctx.log_limits, event, time.monotonic()):
+        telemetry.log(event, replica=replica_id, count=count)
+
+
 def list_available(
     ctx: contexts.FrontContext, name: core.ServiceName
 ) -> tuple[core.ListedReplica, ...]:
@@ -119,16 +140,10 @@
 
 
 def _merge(ctx, departure):
-    """Adds a departure; requests that wait for the replica move on."""
-    directory = ctx.catalogue.directory
-    if not core.mark_departed(directory, departure, time.monotonic()):
-        return False
-    replica = directory.replicas.get(departure.replica_id)
-    if replica is None or core.has_departed(directory.departures, replica):
-        upstreams.reject_queued(
-            ctx.channels, departure.replica_id, core.NotRunReason.LEAVING
-        )
-    return True
+    """Adds a departure and returns whether it was new."""
+    return core.mark_departed(
+        ctx.catalogue.directory, departure, time.monotonic()
+    )
 
 
 def _start_pause(ctx, replica, seconds):
--- a/citronweir/telemetry/_events.py
+++ b/citronweir/telemetry/_events.py
@@ -185,6 +185,13 @@
         '{detail}',
     )
 
+    REQUESTS_MOVED = EventSpec(
+        3013,
+        'INFO',
+        'replica {replica} takes no new requests; {count} that waited for a '
+        'connection to it were moved on',
+    )
+
     PLATFORM_UNAVAILABLE = EventSpec(
         4001,
         'WARNING',
--- a/citronweir/upstreams/_channels.py
+++ b/citronweir/upstreams/_channels.py
@@ -105,6 +105,9 @@
         idle: Open connections without a request, last used at the end.
         busy: Connections with a request in progress.
         tasks: Tasks that open connections.
+        settling: Non-idempotent requests on a new connection that are sent
+            after SETTLE_DELAY.
+        is_replaced: Whether the replica has moved to another address.
         lost_exchanges: Requests without a reply for which it is not known
             yet whether the replica process has ended.
     """
@@ -119,6 +122,8 @@
     idle: list[exchanges.Connection] = dataclasses.field(default_factory=list)
     busy: set[exchanges.Connection] = dataclasses.field(default_factory=set)
     tasks: set[asyncio.Task] = dataclasses.field(default_factory=set)
+    settling: list[Exchange] = dataclasses.field(default_factory=list)
+    is_replaced: bool = False
     lost_exchanges: list[Exchange] = dataclasses.field(default_factory=list)
 
 
@@ -227,19 +232,19 @@
     channels: Channels,
     replica_id: core.ReplicaId,
     reason: core.NotRunReason,
-) -> None:
-    """Ends the requests that wait for a connection to a replica.
+) -> int:
+    """Ends the requests that have not been sent to a replica yet.
 
     Args:
         channels: Channels of this node.
         replica_id: Replica that must not get them.
         reason: Reason that their outcomes state.
+
+    Returns:
+        Number of requests ended.
     """
     channel = channels.by_replica.get(replica_id)
-    if channel is None:
-        return
-    for entry in core.cancel_all(channel.queue):
-        _finish(entry.item, core.NotRun(reason))
+    return 0 if channel is None else _reject_unsent(channel, reason)
 
 
 def warm(channels: Channels, replica: core.ListedReplica, limit: int) -> None:
@@ -286,14 +291,41 @@
 def _find_lane(channels, replica, limit):
     channel = channels.by_replica.get(replica.replica_id)
     if channel is None or channel.address != replica.address:
-        channel = Channel(
-            replica.address, limit, core.make_queue(_RANK_SHARES, QUEUE_LIMIT)
+        known, channel = (
+            channel,
+            Channel(
+                replica.address,
+                limit,
+                core.make_queue(_RANK_SHARES, QUEUE_LIMIT),
+            ),
         )
         channels.by_replica[replica.replica_id] = channel
+        if known is not None:
+            _replace(known)
     channel.limit = max(1, limit)
     return channel
 
 
+def _replace(channel):
+    """Ends the use of a channel whose replica is at another address now."""
+    channel.is_replaced = True
+    _reject_unsent(channel, core.NotRunReason.LEAVING)
+    while channel.idle:
+        _discard(channel, channel.idle.pop())
+
+
+def _reject_unsent(channel, reason):
+    waiting = [entry.item for entry in core.cancel_all(channel.queue)]
+    unsent = [
+        exchange
+        for exchange in (*waiting, *channel.settling)
+        if not exchange.is_finished
+    ]
+    for exchange in unsent:
+        _finish(exchange, core.NotRun(reason))
+    return len(unsent)
+
+
 def _take_idle(channels, channel):
     now = channels.now()
     while channel.idle:
@@ -369,8 +401,9 @@
     )
     _finish_expired(expired)
     if entry is None:
-        channel.idle.append(conn)
+        _keep_idle(channel, conn)
     elif entry.item.is_non_idempotent:
+        channel.settling.append(entry.item)
         asyncio.get_running_loop().call_later(
             SETTLE_DELAY,
             _send_after_delay,
@@ -384,6 +417,7 @@
 
 
 def _send_after_delay(channels, channel, conn, exchange):
+    channel.settling.remove(exchange)
     if conn.is_closed:
         channel.opened -= 1
         if not exchange.is_finished:
@@ -429,12 +463,19 @@
         channel.queue, channels.now(), core.select_shares
     )
     if entry is None:
-        channel.idle.append(conn)
+        _keep_idle(channel, conn)
     else:
         _send(channels, channel, conn, entry.item)
     _finish_expired(expired)
 
 
+def _keep_idle(channel, conn):
+    if channel.is_replaced:
+        _discard(channel, conn)
+    else:
+        channel.idle.append(conn)
+
+
 def _send(channels, channel, conn, exchange):
     exchange.conn = conn
     channel.busy.add(conn)
--- a/citronweir/upstreams/_channels_test.py
+++ b/citronweir/upstreams/_channels_test.py
@@ -296,3 +296,40 @@
         replicas.end(replica)
         await asyncio.sleep(0.2)
     assert ended == [1]
+
+
+async def test_order_on_a_new_connection_leaves_a_replica_that_takes_none():
+    """Guards G6: an order is sent a moment after its connection opened.
+
+    The replica may drain, leave or ask for a pause in that moment.
+    """
+    replica = replicas.Replica('i-1', RECORDS)
+    async with _run(replica) as client:
+        future, _ = _submit(client, _request(), is_non_idempotent=True)
+        channel = client.channels.by_replica[client.replica.replica_id]
+        while not channel.settling:
+            await asyncio.sleep(0.001)
+        reason = core.NotRunReason.LEAVING
+        replica_id = client.replica.replica_id
+        ended = upstreams.reject_queued(client.channels, replica_id, reason)
+        assert ended == 1
+        assert await future == core.NotRun(reason)
+        await asyncio.sleep(5 * channels.SETTLE_DELAY)
+        assert not channel.settling and len(channel.idle) == 1
+    assert not replica.seen
+
+
+async def test_requests_leave_the_former_address_of_a_replica():
+    """Guards G6: a replica that moved left its queue and connections open."""
+    replica = replicas.Replica('i-1', RECORDS, delay=0.2)
+    moved = replicas.Replica('i-1', RECORDS)
+    async with _run(replica, limit=1) as client, _run(moved) as other:
+        futures = [_submit(client, _request(n))[0] for n in range(3)]
+        await asyncio.sleep(0.05)  # the first request is in progress
+        upstreams.warm(client.channels, other.replica, 1)
+        outcomes = await asyncio.gather(*futures)
+        await asyncio.sleep(0.05)
+        assert replica.open_conns == 0
+    assert isinstance(outcomes[0], core.Replied)
+    assert outcomes[1:] == [core.NotRun(core.NotRunReason.LEAVING)] * 2
+    assert len(replica.seen) == 1
--- a/fakes/front_fleet.py
+++ b/fakes/front_fleet.py
@@ -119,12 +119,23 @@
     } | fields
 
 
-def put_config(store: stores.Store, version: int, *routes: dict) -> None:
-    """Writes a configuration into the store."""
+def put_config(
+    store: stores.Store, version: int, *routes: dict, max_conns: int = 26
+) -> None:
+    """Writes a configuration into the store.
+
+    Args:
+        store: State of the store.
+        version: Version of the configuration.
+        *routes: Routes in the form of ``make_route``.
+        max_conns: Connections that each replica accepts.
+    """
     config = {
         'version': version,
         'routes': list(routes),
-        'backends': [{'name': name, 'max_conns': 26} for name in SERVICES],
+        'backends': [
+            {'name': name, 'max_conns': max_conns} for name in SERVICES
+        ],
         'limits': {'max_body_bytes': 1000, 'idle_timeout_ms': 15000},
     }
     stores.put(store, 'op/config', json.dumps(config).encode())
