Cancel the attempts that wait for a connection once they are needless

Cause: a request that ends with an answer left its waiting attempts in the queues of the replicas until their deadline. Only a caller's disconnect and an end without an answer cancelled them. The same holds for a shard answered by its hedge, a group query, and a group that another node answers after this one has hedged it.

Ruled out: the path of the disconnect, which cancels. Five tests in service/_requests_test.py and one in tests/waiting_test.py fail on.

Change: each end of a request cancels what was not sent, in one place. A reply cancels the waiting attempts of its call, a complete answer of another node those of the calls that it replaces.

--- a/citronweir/service/_attempts.py
+++ b/citronweir/service/_attempts.py
@@ -166,8 +166,9 @@
         reply: First usable reply.
         failure: Last unusable reply, if any.
         reason: Reason of the last attempt that did not run, if any.
-        is_ended: Whether the call failed: no attempt is in flight, and no
-            further one will be sent.
+        is_ended: Whether no further attempt will be sent and no reply will
+            be used: the call failed, or another node has the answer.
+        handles: Handles of its attempts, to cancel them.
     """
 
     service: core.ServiceName
@@ -181,6 +182,7 @@
     failure: core.Reply | None = None
     reason: core.NotRunReason | None = None
     is_ended: bool = False
+    handles: list[object] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -357,6 +359,15 @@
     core.add_latency(window, seconds, now)
 
 
+def end_calls(request: Request, group: ServiceGroup) -> None:
+    """Ends the calls of a group whose answer another node has sent."""
+    for call in group.calls:
+        if call.reply is None and not call.is_ended:
+            call.is_ended = True
+            group.pending_calls -= 1
+            _cancel_waiting(request, call)
+
+
 def send_held(request: Request) -> None:
     """Sends the held attempts until one of them has to be awaited."""
     serial = request.serial
@@ -441,6 +452,7 @@
         request.req, replica, route, request.deadline, on_outcome
     )
     request.handles.append(handle)
+    call.handles.append(handle)
 
 
 def _hold_others(request, call, delay):
@@ -467,6 +479,7 @@
             call.reply = reply
             group.reply_count += 1
             group.pending_calls -= 1
+            _cancel_waiting(request, call)
             request.check_completion(request)
             return
         case core.Replied(reply):
@@ -490,6 +503,12 @@
         _send_next(request, group, call, core.AttemptKind.RETRY)
 
 
+def _cancel_waiting(request, call):
+    """Cancels the attempts of an answered call that were not sent yet."""
+    for handle in call.handles:
+        request.deps.cancel_waiting(handle)
+
+
 def _is_usable(route, reply):
     """Returns whether a reply can be used for the answer.
 
--- a/citronweir/service/_groups.py
+++ b/citronweir/service/_groups.py
@@ -129,9 +129,10 @@
                 deps.group_windows, key, now - sent_at, now
             )
             group.merged = outcome
-            _split_off_missing(
-                request, group, query.result().missing_positions
-            )
+            missing_positions = query.result().missing_positions
+            if not missing_positions:
+                attempts.end_calls(request, group)
+            _split_off_missing(request, group, missing_positions)
         case core.Declined(core.NotRunReason.QUARANTINED):
             pass  # the request must not be executed on any node
         case core.Declined():
--- a/citronweir/service/_requests.py
+++ b/citronweir/service/_requests.py
@@ -212,26 +212,29 @@
 
 
 async def _run(request, suspect_status):
-    request.deps.open_requests.add(request)
+    deps, is_ended = request.deps, False
+    deps.open_requests.add(request)
     try:
         _start(request, suspect_status)
         await request.done
-    except asyncio.CancelledError:
-        for handle in request.handles:
-            request.deps.abandon(handle)
-        raise
+        is_ended = True
     finally:
-        request.deps.open_requests.discard(request)
+        deps.open_requests.discard(request)
         request.is_open = False
         for timer in request.timers:
             timer.cancel()
         for group in request.groups:
             if group.query is not None:
                 group.query.cancel()
-    outcome = _make_outcome(request)
+        if not is_ended:
+            for handle in request.handles:
+                deps.abandon(handle)
+    # No reply is used from here on, so nothing more may be sent.
+    unsent = sum(map(deps.cancel_waiting, request.handles))
+    outcome = _make_outcome(request, unsent)
     if request.is_ended_when_due:
-        late = request.deps.now() - request.due
-        core.record_answer_delay(request.deps.answer_delay, late)
+        late = deps.now() - request.due
+        core.record_answer_delay(deps.answer_delay, late)
     return outcome
 
 
@@ -356,7 +359,8 @@
     _schedule_hedge(request)
 
 
-def _make_outcome(request):
+def _make_outcome(request, unsent):
+    """Builds the outcome; ``unsent`` attempts never left this node."""
     route = request.route
     replies, merged = _choose_parts(request)
     if route.shards:
@@ -365,7 +369,6 @@
             return core.merge_parts(route, replies, merged)
     elif replies:
         return core.Forwarded(replies[0])
-    unsent = sum(map(request.deps.cancel_waiting, request.handles))
     calls = [call for group in request.groups for call in group.calls]
     is_delegated = any(group.is_delegated for group in request.groups)
     in_flight = sum(call.in_flight for call in calls) - unsent
--- a/citronweir/service/_requests_test.py
+++ b/citronweir/service/_requests_test.py
@@ -70,6 +70,7 @@
         open_requests: Requests in progress.
         answer_delay: How late answers are sent.
         queued: Handles of attempts that still wait for a connection.
+        cancelled: Times of the cancellations of queued attempts, by handle.
         pauses: Seconds until a replica accepts requests, by service.
         attempts: Time and replica of each attempt.
         earned: Number of requests that earned tokens, by service.
@@ -96,6 +97,7 @@
         default_factory=core.AnswerDelay
     )
     queued: frozenset = frozenset()
+    cancelled: dict = dataclasses.field(default_factory=dict)
     open_requests: set = dataclasses.field(default_factory=set)
     attempts: list = dataclasses.field(default_factory=list)
     earned: collections.Counter = dataclasses.field(
@@ -144,6 +146,12 @@
             loop.call_later(delay, take, outcome, delay)
         return replica.replica_id
 
+    def cancel_waiting(handle):
+        if handle not in scenario.queued:
+            return False
+        scenario.cancelled.setdefault(handle, loop.time())
+        return True
+
     def take_extra(name, kind):
         if scenario.spent[name] >= scenario.tokens:
             return False
@@ -165,7 +173,7 @@
         choose_trial=lambda name, tried: None,
         send=send,
         abandon=scenario.abandoned.append,
-        cancel_waiting=lambda handle: handle in scenario.queued,
+        cancel_waiting=cancel_waiting,
         find_suspect_status=lambda req: scenario.suspect_status,
         take_extra=take_extra,
         earn_tokens=lambda name: scenario.earned.update([name]),
@@ -484,6 +492,64 @@
     )
 
 
+def test_waiting_attempts_are_cancelled_once_the_request_is_answered():
+    """Guards replicas against requests whose answer has been sent.
+
+    They were sent once a connection came free, seconds after the caller had
+    its answer without them.
+    """
+    scenario = Scenario(
+        scripts={'s0': [(None, None)]},
+        queued=frozenset({'s0-0', 's0-1'}),
+    )
+    outcome, seconds = _run(scenario)
+    assert outcome.missing == 1
+    assert set(scenario.cancelled) == {'s0-0', 's0-1'}
+    assert max(scenario.cancelled.values()) == pytest.approx(seconds)
+
+
+def test_waiting_attempts_of_a_plain_request_are_cancelled_by_its_answer():
+    """Guards replicas against the loser of a hedge that was never sent."""
+    scenario = Scenario(
+        PLAIN,
+        scripts={'s0': [(None, None), (0.01, _make_reply())]},
+        queued=frozenset({'s0-0'}),
+    )
+    outcome, _ = _run(scenario)
+    assert isinstance(outcome, core.Forwarded)
+    assert set(scenario.cancelled) == {'s0-0'}
+
+
+def test_waiting_attempt_is_cancelled_once_its_shard_has_answered():
+    """Guards replicas against a lost hedge while other shards are awaited."""
+    scenario = Scenario(
+        scripts={
+            's0': [(None, None), (0.001, _make_reply())],
+            's1': [(0.3, _make_reply())],
+            's2': [(0.3, _make_reply())],
+        },
+        queued=frozenset({'s0-0'}),
+        tokens=1,
+    )
+    _, seconds = _run(scenario)
+    assert scenario.cancelled['s0-0'] < seconds - 0.1
+
+
+def test_waiting_attempts_of_a_group_query_are_cancelled_by_its_answer():
+    """Guards replicas of a group whose answer another node has got."""
+    scenario = Scenario(
+        scripts={'s3': [(None, None)]}, tokens=0, queued=frozenset({'s3-0'})
+    )
+    query = core.GroupQuery(1, GATHER.name, (1, 3), REQ, 0.05, 1.0)
+
+    async def main():
+        return await service.run_group(_make_dependencies(scenario), query)
+
+    answer = virtual.run(main)
+    assert answer.missing_positions == (1,)
+    assert set(scenario.cancelled) == {'s3-0'}
+
+
 GROUPS = (core.ShardGroup((0, 1)), core.ShardGroup((2, 3), (NODE,)))
 
 
@@ -556,6 +622,33 @@
         assert count == GATHER.max_attempts
 
 
+def test_answer_of_another_node_cancels_the_attempts_of_its_hedge():
+    """Guards replicas against a hedge that waits after the late answer.
+
+    The request itself goes on, since another shard is awaited.
+    """
+    scenario = Scenario(
+        groups=GROUPS,
+        answer=(0.08, _make_merged('s2', 's3')),
+        scripts={
+            's1': [(0.3, _make_reply())],
+            's2': [(None, None)],
+            's3': [(None, None)],
+        },
+        queued=frozenset({'s2-0', 's3-0', 's2-1', 's3-1'}),
+    )
+    scenario = dataclasses.replace(
+        scenario, route=dataclasses.replace(GATHER, min_coverage=1.0)
+    )
+    outcome, seconds = _run(scenario)
+    assert outcome.missing == 0
+    hedged = {
+        name for _, name in scenario.attempts if name[:2] in ('s2', 's3')
+    }
+    assert hedged and hedged == set(scenario.cancelled)
+    assert max(scenario.cancelled.values()) < seconds - 0.1
+
+
 def test_group_that_a_node_declined_takes_no_token():
     """A first attempt is not a retry and takes no token."""
     declined = core.Declined(core.NotRunReason.OWNER_UNREACHABLE, 0.0)
--- a/tests/waiting_test.py
+++ b/tests/waiting_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import aiohttp
 import pytest
 
 from fakes import front_fleet as fleets
@@ -12,11 +13,14 @@
 # Seconds after a drain in which a request may still reach the replica; the
 # platform's `drain_ms` is at least 3 s.
 DRAIN_BOUND = 3.0
+# Seconds after a caller has closed in which its request may reach a replica.
+GONE_BOUND = 0.5
 # Orders in progress hold the connections until this deadline, which is later
 # than DRAIN_BOUND after the drain.
 FIRST_DEADLINE = 5000  # milliseconds
 LATER_DEADLINE = 9000  # milliseconds
 CHANGE_TIME = 1.0  # seconds until a change is in force on the only node
+REPLICAS = ('i-0a', 'i-0b')
 
 
 @pytest.fixture(name='route')
@@ -88,3 +92,51 @@
         late = [at for at in state.seen_at if at > left_at + DRAIN_BOUND]
     assert not late
     assert statuses == [200] * 8
+
+
+async def test_waiting_request_is_dropped_once_its_caller_has_an_answer(
+    tmp_path,
+):
+    """Guards replicas against requests whose answer has been delivered.
+
+    Callers got an answer without the shard that hung, and closed. Their
+    requests were sent to the shard when a connection came free.
+    """
+    route = fleets.make_route(
+        gather=list(fleets.SERVICES),
+        top_k=3,
+        min_shard_ratio=0.5,
+        timeout_ms=3000,
+        goal_ms=200,
+    )
+    async with fleets.run(tmp_path, routes=[route]) as fleet:
+        await _put_limit(fleet, route)
+        states = [fleet.replicas[name].state for name in REPLICAS]
+        for state in states:
+            state.faults = [replicas.Fault.SILENT] * 2
+        closed_at = {}
+
+        async def send(number):
+            request_id = f'r{number}'
+            async with aiohttp.ClientSession() as session:
+                status, _, _ = await fleets.send_request(
+                    fleet, 'n1', '/a/x', request_id, session, 3000
+                )
+            closed_at[request_id] = time.monotonic()
+            return status
+
+        tasks = []
+        for number in range(16):
+            tasks.append(asyncio.create_task(send(number)))
+            await asyncio.sleep(0.15)
+        assert await asyncio.gather(*tasks) == [200] * len(tasks)
+        await asyncio.sleep(3.5)  # beyond the deadlines of all requests
+        late = [
+            headers['X-Request-Id']
+            for state in states
+            for at, (_, headers, _) in zip(
+                state.seen_at, state.seen, strict=True
+            )
+            if at > closed_at[headers['X-Request-Id']] + GONE_BOUND
+        ]
+    assert not late
