Report the outcome of a request whose caller has left

Cause: abandon() dropped the outcome, so the request stayed among those in flight at the replica.

Change: the outcome of an abandoned request is reported as ABANDONED. It counts as a failure of the replica only if it had lasted far longer than usual there. An exchange knows its channel, so that one submitted before its replica moved is cancelled in the right queue.

--- a/citronweir/core/_data.py
+++ b/citronweir/core/_data.py
@@ -109,6 +109,7 @@
     REPLY_LOST = 'reply_lost'
     CONNECTION_LOST = 'connection_lost'
     TIMEOUT = 'timeout'
+    ABANDONED = 'abandoned'
     CLAIMED_ELSEWHERE = 'claimed_elsewhere'
     ID_EXPIRED = 'id_expired'
     NOT_CHECKED = 'not_checked'
--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -47,6 +47,7 @@
         core.NotRunReason.CANCELLED,
         core.NotRunReason.LEAVING,
         core.NotRunReason.PAUSED,
+        core.UnknownReason.ABANDONED,
     }
 )
 
@@ -88,10 +89,8 @@
         choose=choose,
         choose_trial=choose_trial,
         send=_make_send(ctx),
-        abandon=lambda handle: upstreams.abandon(ctx.channels, *handle),
-        cancel_waiting=lambda handle: upstreams.cancel_waiting(
-            ctx.channels, *handle
-        ),
+        abandon=lambda handle: upstreams.abandon(ctx.channels, handle),
+        cancel_waiting=upstreams.cancel_waiting,
         find_suspect_status=lambda req: crash_reports.find_suspect_status(
             ctx, req
         ),
@@ -210,7 +209,7 @@
                 case core.Lost():
                     lost_at = now
                     crash_reports.record_loss(ctx, req)
-            _update_load(ctx, replica, load, number, outcome, now)
+            _update_load(ctx, replica, load, number, outcome, sent_at, now)
             name = type(outcome).__name__.lower()
             telemetry.count(ctx.counters, 'attempts', outcome=name)
             if not isinstance(outcome, core.Replied):
@@ -238,12 +237,12 @@
         upstreams.submit(
             ctx.channels, replica, conn_limit(ctx, replica.service), exchange
         )
-        return replica.replica_id, exchange
+        return exchange
 
     return send
 
 
-def _update_load(ctx, replica, load, number, outcome, now):
+def _update_load(ctx, replica, load, number, outcome, sent_at, now):
     match outcome:
         case core.Replied(reply):
             if reply.status >= 500:
@@ -258,6 +257,10 @@
             core.mark_misdirected(ctx.catalogue.directory, replica)
         case core.NotRun(reason) if reason in _LOCAL_REASONS:
             core.record_request_abandoned(load, number)
+        case core.Lost(core.UnknownReason.ABANDONED) if not core.is_late(
+            load, now - sent_at
+        ):
+            core.record_request_abandoned(load, number)
         case _:
             core.record_request_failed(load, number, now)
 
--- a/citronweir/upstreams/_channels.py
+++ b/citronweir/upstreams/_channels.py
@@ -69,7 +69,8 @@
         is_non_idempotent: Whether the request must not run twice.
         on_replica_ended: Called if the replica process ended while the
             request was in progress.
-        conn: Connection that carries the request, None while it is queued.
+        channel: Channel that it was submitted to.
+        conn: Connection that carries the request, None until it is sent.
         entry: Entry in the queue of the channel, if it was ever queued.
         timer: Expires the request at its deadline.
         is_finished: Whether the request has its outcome.
@@ -83,6 +84,7 @@
     on_outcome: abc.Callable[[core.AttemptOutcome], None]
     is_non_idempotent: bool = False
     on_replica_ended: abc.Callable[[], None] | None = None
+    channel: 'Channel | None' = None
     conn: exchanges.Connection | None = None
     entry: core.QueueEntry | None = None
     timer: asyncio.TimerHandle | None = None
@@ -161,7 +163,7 @@
         limit: Maximum number of connections of this node to the replica.
         exchange: The request; its ``on_outcome`` is called with the outcome.
     """
-    channel = _find_lane(channels, replica, limit)
+    channel = exchange.channel = _find_lane(channels, replica, limit)
     exchange.timer = asyncio.get_running_loop().call_later(
         max(0.0, exchange.deadline - channels.now()),
         _expire,
@@ -184,46 +186,39 @@
     _open_if_allowed(channels, channel)
 
 
-def abandon(
-    channels: Channels, replica_id: core.ReplicaId, exchange: Exchange
-) -> None:
+def abandon(channels: Channels, exchange: Exchange) -> None:
     """Cancels a request whose caller has gone.
 
-    A queued request is cancelled at once. One in progress is cancelled after
-    ABANDON_TIMEOUT, so that a short reply leaves a reusable connection.
+    A request that was not sent is cancelled at once. One in progress is
+    cancelled after ABANDON_TIMEOUT, so that a short reply leaves a reusable
+    connection.
 
     Args:
         channels: Channels of this node.
-        replica_id: Replica to which it was submitted.
-        exchange: The request; its ``on_outcome`` is no longer called.
+        exchange: The request.
     """
-    if exchange.is_finished:
-        return
-    channel = channels.by_replica.get(replica_id)
-    exchange.on_outcome = _ignore
-    if exchange.conn is None:
-        if channel is not None:
-            core.cancel(channel.queue, exchange.entry)
-        _finish(exchange, core.NotRun(core.NotRunReason.CANCELLED))
+    if exchange.is_finished or cancel_waiting(exchange):
         return
     exchange.timer.cancel()
     exchange.timer = asyncio.get_running_loop().call_later(
-        ABANDON_TIMEOUT, _expire, channels, channel, exchange
+        ABANDON_TIMEOUT,
+        _expire,
+        channels,
+        exchange.channel,
+        exchange,
+        core.UnknownReason.ABANDONED,
     )
 
 
-def cancel_waiting(
-    channels: Channels, replica_id: core.ReplicaId, exchange: Exchange
-) -> bool:
-    """Cancels a request if it is still queued.
+def cancel_waiting(exchange: Exchange) -> bool:
+    """Cancels a request that was not sent yet.
 
     Returns:
         Whether it was cancelled; a request in progress continues.
     """
-    channel = channels.by_replica.get(replica_id)
-    if exchange.is_finished or exchange.conn is not None or channel is None:
+    if exchange.is_finished or exchange.conn is not None:
         return False
-    core.cancel(channel.queue, exchange.entry)
+    core.cancel(exchange.channel.queue, exchange.entry)
     _finish(exchange, core.NotRun(core.NotRunReason.CANCELLED))
     return True
 
@@ -524,7 +519,7 @@
     return None
 
 
-def _expire(channels, channel, exchange):
+def _expire(channels, channel, exchange, reason=core.UnknownReason.TIMEOUT):
     """Ends a request that has expired and closes its connection."""
     if exchange.is_finished:
         return
@@ -535,7 +530,7 @@
     channel.busy.discard(exchange.conn)
     _discard(channel, exchange.conn)
     _schedule_end_check(channels, channel, exchange)
-    _finish(exchange, core.Lost(core.UnknownReason.TIMEOUT))
+    _finish(exchange, core.Lost(reason))
     _open_if_allowed(channels, channel)
 
 
@@ -586,7 +581,3 @@
     if exchange.timer is not None:
         exchange.timer.cancel()
     exchange.on_outcome(outcome)
-
-
-def _ignore(outcome):
-    pass
