Watch a cancelled request until its deadline for a crash of its replica

Cause: after the caller has left, the connection is closed and one check 20 ms later finds that the process still runs. The request was dropped from the check then, and the crash that followed was tied to none.

Change: a request that this node has cancelled stays watched until its deadline. The loss of an idle connection starts the next check; only a refused connection counts as an end.

--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -206,8 +206,9 @@
             match outcome:
                 case core.Replied():
                     crash_reports.record_answer(ctx, req, replica.service)
-                case core.Lost():
-                    lost_at = now
+                case core.Lost(reason):
+                    if reason is not core.UnknownReason.ABANDONED:
+                        lost_at = now
                     crash_reports.record_loss(ctx, req)
             _update_load(ctx, replica, load, number, outcome, sent_at, now)
             name = type(outcome).__name__.lower()
--- a/citronweir/upstreams/_channels.py
+++ b/citronweir/upstreams/_channels.py
@@ -11,6 +11,7 @@
 from collections import abc
 import dataclasses
 import functools
+import math
 
 from citronweir import core
 from citronweir.upstreams import _exchange as exchanges
@@ -44,6 +45,8 @@
 QUEUE_LIMIT = 64  # queued requests of each rank
 # A request whose caller has gone is cancelled after this time.
 ABANDON_TIMEOUT = 0.25  # seconds
+# Cancelled requests of a replica whose effect is awaited.
+MAX_WATCHED = 64
 _LOSS_REASONS = {
     exchanges.Loss.BROKEN: core.UnknownReason.CONNECTION_LOST,
     exchanges.Loss.MALFORMED: core.UnknownReason.REPLY_LOST,
@@ -74,6 +77,8 @@
         entry: Entry in the queue of the channel, if it was ever queued.
         timer: Expires the request at its deadline.
         is_finished: Whether the request has its outcome.
+        watched_until: Monotonic time in seconds until which the replica may
+            run the request although this node has closed its connection.
     """
 
     rank: core.Rank
@@ -89,6 +94,7 @@
     entry: core.QueueEntry | None = None
     timer: asyncio.TimerHandle | None = None
     is_finished: bool = False
+    watched_until: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -112,6 +118,7 @@
         is_replaced: Whether the replica has moved to another address.
         lost_exchanges: Requests without a reply for which it is not known
             yet whether the replica process has ended.
+        watched: Cancelled requests that the replica may still run.
     """
 
     address: core.Address
@@ -127,6 +134,7 @@
     settling: list[Exchange] = dataclasses.field(default_factory=list)
     is_replaced: bool = False
     lost_exchanges: list[Exchange] = dataclasses.field(default_factory=list)
+    watched: list[Exchange] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -382,7 +390,7 @@
         is_open = conn is not None and not conn.is_closed
         if not is_open:
             channel.opened -= 1
-    _finish_end_check(channel, is_refused)
+    _finish_end_check(channels, channel, is_refused)
     if is_open:
         conn.idle_since = channels.now()
         _assign_new(channels, channel, conn)
@@ -444,6 +452,7 @@
         return
     channel.idle.remove(conn)
     channel.opened -= 1
+    _schedule_end_check(channels, channel, _take_watched(channels, channel))
     now = channels.now()
     if now - conn.idle_since < EARLY_RESET_TIME:
         wait = min(
@@ -490,7 +499,7 @@
         channel.opened -= 1
         outcome = core.Lost(_LOSS_REASONS[result])
         if result is exchanges.Loss.BROKEN:
-            _schedule_end_check(channels, channel, exchange)
+            _schedule_end_check(channels, channel, [exchange])
     else:
         outcome = exchange.decode(result)
         _release(channels, channel, conn, result)
@@ -529,23 +538,26 @@
         return
     channel.busy.discard(exchange.conn)
     _discard(channel, exchange.conn)
-    _schedule_end_check(channels, channel, exchange)
+    exchange.watched_until = exchange.deadline
+    _schedule_end_check(channels, channel, [exchange])
     _finish(exchange, core.Lost(reason))
     _open_if_allowed(channels, channel)
 
 
-def _schedule_end_check(channels, channel, exchange):
-    """Schedules a check of whether the replica of a lost request has ended.
+def _schedule_end_check(channels, channel, lost):
+    """Schedules a check of whether the replica of lost requests has ended.
 
     A lost reply, a reset by a device on the path and a reset at the
     connection limit all happen while the process runs. Only a refused
     connection, which means that no process listens on the port, shows that
     it has ended.
     """
-    if exchange.on_replica_ended is None:
+    lost = [item for item in lost if item.on_replica_ended is not None]
+    if not lost:
         return
-    channel.lost_exchanges.append(exchange)
-    if len(channel.lost_exchanges) == 1:
+    is_scheduled = bool(channel.lost_exchanges)
+    channel.lost_exchanges += lost
+    if not is_scheduled:
         asyncio.get_running_loop().call_later(
             END_CHECK_DELAY, _check_replica_ended, channels, channel
         )
@@ -556,16 +568,32 @@
         return
     if channel.opened > channel.opening:
         # Another open connection shows that the process still runs.
-        channel.lost_exchanges.clear()
+        _finish_end_check(channels, channel, False)
     elif not channel.opening:
         _open(channels, channel)
 
 
-def _finish_end_check(channel, has_ended):
+def _finish_end_check(channels, channel, has_ended):
+    """Reports the end of a replica to its lost requests.
+
+    A replica that still runs may run those that this node has cancelled,
+    and end later because of them. The loss of a connection then causes the
+    next check.
+    """
     lost, channel.lost_exchanges = channel.lost_exchanges, []
     if has_ended:
-        for exchange in lost:
+        for exchange in lost + _take_watched(channels, channel):
             exchange.on_replica_ended()
+        return
+    channel.watched += lost
+    channel.watched = _take_watched(channels, channel)[-MAX_WATCHED:]
+
+
+def _take_watched(channels, channel):
+    """Takes the cancelled requests that the replica may still run."""
+    watched, channel.watched = channel.watched, []
+    now = channels.now()
+    return [item for item in watched if item.watched_until > now]
 
 
 def _finish_expired(entries):
--- a/citronweir/upstreams/_channels_test.py
+++ b/citronweir/upstreams/_channels_test.py
@@ -283,6 +283,33 @@
         assert await _list_ended(replica, fault) == [], fault
 
 
+async def _list_ended_after_abandoning(crash_delay, deadline):
+    """Returns the requests whose replica ended after they were cancelled."""
+    ended = []
+    replica = replicas.Replica('i-1', RECORDS, delay=0.01)
+    async with _run(replica) as client:
+        await _send(client)
+        replica.delay = 9.0
+        _, exchange = _submit(client, _request(1), deadline)
+        exchange.on_replica_ended = lambda: ended.append(1)
+        await asyncio.sleep(0.05)
+        upstreams.abandon(client.channels, exchange)
+        await asyncio.sleep(crash_delay)
+        replicas.end(replica)
+        await asyncio.sleep(0.2)
+    return ended
+
+
+async def test_late_end_of_a_replica_is_reported_for_an_abandoned_request():
+    """Guards against crashes after the connection was closed.
+
+    A replica that does not drop the request may run it until its deadline,
+    but no longer.
+    """
+    assert await _list_ended_after_abandoning(0.8, 5.0) == [1]
+    assert await _list_ended_after_abandoning(0.8, 0.6) == []
+
+
 async def test_replica_end_is_reported_for_an_abandoned_request():
     """Guards against crashes that go unreported for abandoned requests."""
     ended = []
--- a/tests/crashing_request_test.py
+++ b/tests/crashing_request_test.py
@@ -222,12 +222,21 @@
         assert _count_crashes(fleet) - before <= MAX_LATE_REPEATS
 
 
-async def test_caller_that_disconnects_before_each_crash_is_refused(tmp_path):
-    """Guards replicas against a caller that disconnects early."""
+@pytest.mark.parametrize(
+    'poison_delay, repeats, pause',
+    [(0.15, REPEATS, REPEAT_PAUSE), (0.8, 12, 1.0)],
+)
+async def test_caller_that_disconnects_before_each_crash_is_refused(
+    tmp_path, poison_delay, repeats, pause
+):
+    """Guards replicas against a caller that disconnects early.
+
+    The crash may come long after the node has closed its connection.
+    """
     async with _run_fleet(tmp_path, ROUTES['plain'], HARMLESS_ROUTE) as fleet:
         for state in _list_states(fleet):
-            state.poison_delay = 0.15
-        for number in range(REPEATS):
+            state.poison_delay = poison_delay
+        for number in range(repeats):
             timeout = aiohttp.ClientTimeout(total=0.1)
             async with aiohttp.ClientSession(timeout=timeout) as session:
                 name = NODES[number % 3]
@@ -235,7 +244,7 @@
                     await _request_status(
                         fleet, session, name, f'/a/{POISON}', f'p{number}'
                     )
-                await asyncio.sleep(REPEAT_PAUSE)
+                await asyncio.sleep(pause)
         await asyncio.sleep(REPORT_TIME)
         assert (
             _count_crashes(fleet)
