Write only records of convictions that every node can read

A conviction whose request id is no ASCII text, or whose caller's address was unknown, would have been written again every 4 s by three nodes for as long as it lasted, and sent to all nodes each time.

Cause: the decoder rejects an empty caller and ids that cannot be encoded, and a record that no node can read counts as missing. Found by reading; callers choose the ids.

Evidence: test_written_conviction_can_be_read fails without the change for an empty caller.

Change: the writer replaces a long or non-ASCII request id by its hash, and the decoder takes an empty caller. The bound of a record is 13 KB.

--- a/citronweir/core/_convictions.py
+++ b/citronweir/core/_convictions.py
@@ -23,7 +23,7 @@
 from citronweir.core import _data as data
 
 # Bounds on the records in the store. Eight crashes suffice for the longest
-# delay of a trial; a record takes at most 8 KB.
+# delay of a trial; a record takes at most 13 KB.
 MAX_RECORDS = 64
 MAX_RECORD_CRASHES = 8
 # Nodes that write a conviction without being asked for the request, and the
@@ -309,8 +309,14 @@
 
 
 def _limit_request_id(report):
-    """Replaces a long request id by its hash, which bounds the record."""
-    if len(report.request_id) <= MAX_REQUEST_ID:
+    """Replaces a long or unusual request id by its hash.
+
+    Callers choose these ids, and a record must stay small and readable.
+    """
+    if (
+        len(report.request_id) <= MAX_REQUEST_ID
+        and report.request_id.isascii()
+    ):
         return report
     raw = report.request_id.encode(errors='surrogatepass')
     digest = hashlib.blake2b(raw, digest_size=MAX_REQUEST_ID // 2)
--- a/citronweir/platform/_catalogue.py
+++ b/citronweir/platform/_catalogue.py
@@ -132,7 +132,7 @@
     report = core.ReplicaReport(
         core.ReportKind.ENDED,
         fingerprint,
-        core.CallerId(_require_name(caller)),
+        core.CallerId(_require_short(caller)),
         core.ServiceName(_require_name(service)),
         core.RequestId(_require_name(request_id)),
         core.ReplicaId(_require_name(replica_id)),
@@ -246,9 +246,16 @@
 
 
 def _require_name(value):
+    text = _require_short(value)
+    if not text:
+        raise ValueError('an empty name')
+    return text
+
+
+def _require_short(value):
     text = _require_text(value)
-    if not text or len(text) > _MAX_NAME_LENGTH:
-        raise ValueError(f'{len(text)} characters is not a valid name length')
+    if len(text) > _MAX_NAME_LENGTH:
+        raise ValueError(f'{len(text)} characters are too many for a name')
     text.encode()  # rejects lone surrogates, which cannot be encoded
     return text
 
--- a/citronweir/platform/_catalogue_test.py
+++ b/citronweir/platform/_catalogue_test.py
@@ -1,6 +1,7 @@
 """Tests of the decoders for records in the platform's store."""
 
 import json
+import random
 
 import hypothesis
 from hypothesis import given
@@ -233,3 +234,41 @@
     """Guards nodes against an odd entry of another writer."""
     record, errors = _decode(key, fields)
     assert record.body is None and errors
+
+
+@given(
+    st.text(st.characters() | st.characters(categories=['Cs']), max_size=300),
+    st.sampled_from(['', '10.0.0.1', '::1']),
+)
+def test_written_conviction_can_be_read(request_id, caller):
+    """Guards the store against a record that is written again and again.
+
+    A record that no node can read counts as missing.
+    """
+    fingerprint = core.Fingerprint('ab' * 12)
+    reports, table = core.CrashReportTable(), core.ConvictionTable()
+    for number in range(3):
+        report = core.ReplicaReport(
+            core.ReportKind.ENDED,
+            fingerprint,
+            core.CallerId(caller),
+            core.ServiceName('s' * 200),
+            core.RequestId(f'{number}{request_id}'),
+            core.ReplicaId(f'{number}'.rjust(200, 'i')),
+        )
+        core.merge_report(reports, report, 1.0, 1.0)
+    own = core.NodeId('n1')
+    clocks = 5.0, 1.7e9
+    write = core.choose_write(
+        table, reports, own, [own], clocks, random.Random(1)
+    )
+    text = platform.encode_conviction(write.conviction)
+    record, errors = _decode(CONVICTION_KEY, text)
+    assert not errors
+    # The record is known now, so nothing more is written.
+    core.restore_conviction(table, reports, record.body, clocks)
+    later = 60.0, 1.7e9 + 55.0
+    assert (
+        core.choose_write(table, reports, own, [own], later, random.Random(1))
+        is None
+    )
