Hold back further attempts of a suspect until the last one has ended

Cause: attempts of a suspect are sent one at a time, but an attempt that is late lets the next one go. Beside load a crash was late, and a replica of the next shard got the request before the first was lost.

In the log one node lost two attempts of one request 15 ms apart, the second sent when the first was late. Ruled out: a repeat within 0.5 s at one node, and a crash that was not noticed.

Change: with enough crashes for a conviction, the next attempt waits for the outcome of the one before it.

The new unit test fails without the change.

--- a/citronweir/service/_attempts.py
+++ b/citronweir/service/_attempts.py
@@ -456,9 +456,11 @@
 
 
 def _hold_others(request, call, delay):
-    """Holds other attempts back until this one ends or is late."""
+    """Holds other attempts back until this one ends or, mostly, is late."""
     serial = request.serial
     serial.awaited = call
+    if serial.is_strict:
+        return
 
     def resume():
         if serial.awaited is call and not request.done.done():
--- a/citronweir/service/_serial_attempts.py
+++ b/citronweir/service/_serial_attempts.py
@@ -22,12 +22,15 @@
 
     Attributes:
         is_on: Whether one attempt is sent at a time.
+        is_strict: Whether the next attempt waits for the outcome of the one
+            before it, however late that is.
         losses: Serial attempts that were lost.
         awaited: Call whose attempt the others wait for.
         held: Attempts held back, each as its group, call and kind.
     """
 
     is_on: bool = False
+    is_strict: bool = False
     losses: int = 0
     awaited: object | None = None
     held: list[tuple] = dataclasses.field(default_factory=list)
@@ -36,10 +39,18 @@
 def make_serial_state(
     suspect_status: core.SuspectStatus | None,
 ) -> SerialState:
-    """Builds the initial state; a suspect may lose only one attempt."""
+    """Builds the initial state; a suspect may lose only one attempt.
+
+    Where there are enough crashes for a conviction, a late attempt more
+    likely crashes its replica than not, and the next one would too.
+    """
     if suspect_status is None:
         return SerialState()
-    return SerialState(is_on=True, losses=MAX_LOSSES - 1)
+    return SerialState(
+        is_on=True,
+        is_strict=suspect_status.is_conviction_pending,
+        losses=MAX_LOSSES - 1,
+    )
 
 
 def must_wait(serial: SerialState) -> bool:
--- a/citronweir/service/_serial_attempts_test.py
+++ b/citronweir/service/_serial_attempts_test.py
@@ -67,6 +67,21 @@
     assert seconds < requests.GATHER.timeout
 
 
+def test_suspect_with_enough_crashes_waits_for_a_late_attempt():
+    """Guards replicas of other shards while a crash is slow.
+
+    Beside other load an attempt was late, the next one was sent, and both
+    replicas crashed.
+    """
+    status = dataclasses.replace(SUSPECT, is_conviction_pending=True)
+    scripts = ALL_CRASH | {'s2': [(0.2, CRASHED)]}
+    scenario = requests.Scenario(scripts=scripts, suspect_status=status)
+    outcome, seconds = requests._run(scenario)
+    assert isinstance(outcome, core.Unanswered)
+    assert [replica_id for _, replica_id in scenario.attempts] == ['s2-0']
+    assert seconds == pytest.approx(0.2)
+
+
 def test_suspect_that_is_shed_is_retried():
     """An overloaded replica must not fail a harmless suspect."""
     scripts = {'s2': [(0.01, requests.SHED), (0.01, ANSWERED)]}
