--- a/citronweir/upstreams/_channels.py
+++ b/citronweir/upstreams/_channels.py
@@ -45,7 +45,8 @@
 QUEUE_LIMIT = 64  # queued requests of each rank
 # A request whose caller has gone is cancelled after this time.
 ABANDON_TIMEOUT = 0.25  # seconds
-# Cancelled requests of a replica whose effect is awaited.
+# Cancelled requests of a replica that may still end it; older ones are no
+# longer watched.
 MAX_WATCHED = 64
 _LOSS_REASONS = {
     exchanges.Loss.BROKEN: core.UnknownReason.CONNECTION_LOST,
@@ -115,7 +116,7 @@
         tasks: Tasks that open connections.
         settling: Non-idempotent requests on a new connection that are sent
             after SETTLE_DELAY.
-        is_replaced: Whether the replica has moved to another address.
+        is_retired: Whether the replica has moved to another address.
         lost_exchanges: Requests without a reply for which it is not known
             yet whether the replica process has ended.
         watched: Cancelled requests that the replica may still run.
@@ -132,7 +133,7 @@
     busy: set[exchanges.Connection] = dataclasses.field(default_factory=set)
     tasks: set[asyncio.Task] = dataclasses.field(default_factory=set)
     settling: list[Exchange] = dataclasses.field(default_factory=list)
-    is_replaced: bool = False
+    is_retired: bool = False
     lost_exchanges: list[Exchange] = dataclasses.field(default_factory=list)
     watched: list[Exchange] = dataclasses.field(default_factory=list)
 
@@ -294,24 +295,18 @@
 def _find_lane(channels, replica, limit):
     channel = channels.by_replica.get(replica.replica_id)
     if channel is None or channel.address != replica.address:
-        known, channel = (
-            channel,
-            Channel(
-                replica.address,
-                limit,
-                core.make_queue(_RANK_SHARES, QUEUE_LIMIT),
-            ),
-        )
+        former, queue = channel, core.make_queue(_RANK_SHARES, QUEUE_LIMIT)
+        channel = Channel(replica.address, limit, queue)
         channels.by_replica[replica.replica_id] = channel
-        if known is not None:
-            _replace(known)
+        if former is not None:
+            _retire(former)
     channel.limit = max(1, limit)
     return channel
 
 
-def _replace(channel):
+def _retire(channel):
     """Ends the use of a channel whose replica is at another address now."""
-    channel.is_replaced = True
+    channel.is_retired = True
     _reject_unsent(channel, core.NotRunReason.LEAVING)
     while channel.idle:
         _discard(channel, channel.idle.pop())
@@ -474,7 +469,7 @@
 
 
 def _keep_idle(channel, conn):
-    if channel.is_replaced:
+    if channel.is_retired:
         _discard(channel, conn)
     else:
         channel.idle.append(conn)
