--- a/citronweir/core/_data.py
+++ b/citronweir/core/_data.py
@@ -31,6 +31,9 @@
 ConfigKey = typing.NewType('ConfigKey', str)
 ServiceName = typing.NewType('ServiceName', str)
 RouteName = typing.NewType('RouteName', str)
+TenantName = typing.NewType('TenantName', str)
+KeyDigest = typing.NewType('KeyDigest', str)
+Region = typing.NewType('Region', str)
 
 # Exclusive upper end of the key space that an index's shards partition.
 KEY_SPACE_END = 1 << 32
@@ -101,6 +104,9 @@
     MISDIRECTED = 'misdirected'
     LEAVING = 'leaving'
     PAUSED = 'paused'
+    KEY_WITHDRAWN = 'key_withdrawn'
+    UNCONFIRMED = 'unconfirmed'
+    OVER_QUOTA = 'over_quota'
 
 
 class UnknownReason(enum.Enum):
@@ -228,6 +234,8 @@
         shards: Services that each hold a part of the answer.
         top_k: Number of records in a merged answer.
         min_coverage: Smallest share of the shards that an answer may have.
+        is_public: Whether its requests need no API key.
+        homes: Regions whose replicas may run its requests; empty for all.
     """
 
     name: RouteName
@@ -242,6 +250,36 @@
     shards: tuple[ServiceName, ...] = ()
     top_k: int = 0
     min_coverage: float = 0.0
+    is_public: bool = False
+    homes: frozenset[Region] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tenant:
+    """Customer whose callers send an API key.
+
+    Attributes:
+        key_digests: Digests of its API keys.
+        rank: Priority that replaces the one of the route, or None.
+        rate: Requests per second that all nodes together serve; 0 for no
+            limit.
+        burst: Requests that are served beyond the rate.
+        homes: Regions whose replicas may run its requests; empty for all.
+    """
+
+    name: TenantName
+    key_digests: frozenset[KeyDigest]
+    rank: Rank | None = None
+    rate: float = 0.0
+    burst: float = 0.0
+    homes: frozenset[Region] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evacuation:
+    """Operator's request that the replicas of a data centre get no work."""
+
+    dc: DataCentre
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -262,12 +300,14 @@
         max_conns: Connections that a replica accepts from all of its
             callers together, by service.
         limits: Limits on requests of callers.
+        tenants: Tenants; if there are any, requests carry an API key.
     """
 
     version: int
     routes: tuple[Route, ...]
     max_conns: abc.Mapping[ServiceName, int]
     limits: CallerLimits = CallerLimits()
+    tenants: tuple[Tenant, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -305,7 +345,13 @@
 
 
 ConfigBody = (
-    Contract | FleetSettings | Drain | RouteTable | ListedReplica | ListedNode
+    Contract
+    | FleetSettings
+    | Drain
+    | RouteTable
+    | Evacuation
+    | ListedReplica
+    | ListedNode
 )
 
 
@@ -786,6 +832,8 @@
 
     Attributes:
         age: Seconds since a node confirmed the batch with the store.
+        confirmed_boot: Boot-clock second of this node at which the batch was
+            confirmed, if its sender has stated it; -infinity otherwise.
         more: Whether the sender has further records for which the batch
             had no room.
     """
@@ -795,6 +843,7 @@
     since: Revision = NO_REVISION
     age: float = math.inf
     more: bool = False
+    confirmed_boot: float = -math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -1064,6 +1113,19 @@
 DEFAULT_ROUND_TRIP = 0.006  # seconds
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class InvalidKey:
+    """The caller sent a malformed API key, or more than one."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """Tenant of a request and the digest of the key that proved it."""
+
+    tenant: TenantName
+    digest: KeyDigest
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpRequest:
     """Request of a caller that is forwarded to replicas unchanged.
@@ -1076,6 +1138,10 @@
         round_trip: Seconds of a network round trip to the caller.
         elapsed: Seconds that the caller has waited in addition to the transit
             of the request.
+        identity_headers: Headers that name the caller's identity. They are
+            forwarded only where the configuration has no tenants.
+        credential: What the caller states about its API key.
+        identity: Tenant of the request, once its key was found.
     """
 
     request_id: RequestId
@@ -1088,6 +1154,9 @@
     caller: CallerId = CallerId('')
     round_trip: float = DEFAULT_ROUND_TRIP
     elapsed: float = 0.0
+    identity_headers: tuple[tuple[str, str], ...] = ()
+    credential: KeyDigest | InvalidKey | None = None
+    identity: Identity | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -1203,6 +1272,11 @@
     """No route of the active configuration matches the request."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unauthorised:
+    """The request lacks a valid API key and has not run."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unanswered:
     """The request ran, or may have, without a usable answer."""
@@ -1210,7 +1284,9 @@
     reason: FailureReason
 
 
-RequestOutcome = Forwarded | Gathered | Declined | NoRoute | Unanswered
+RequestOutcome = (
+    Forwarded | Gathered | Declined | NoRoute | Unauthorised | Unanswered
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/citronweir/core/_directory.py
+++ b/citronweir/core/_directory.py
@@ -31,6 +31,7 @@
             unless its replica has registered again.
         departures: Replicas that said that they are leaving.
         misdirected: Replicas at whose address another replica answers.
+        evacuated: Data centres whose replicas accept no requests.
         restored_at: Monotonic second at which the last outage of the
             registry ended.
         on_excluded: Called with each replica that stops accepting new
@@ -51,6 +52,7 @@
         default_factory=departure_tables.DepartureTable
     )
     misdirected: set[data.ReplicaId] = dataclasses.field(default_factory=set)
+    evacuated: frozenset[data.DataCentre] = frozenset()
     restored_at: float = -REREGISTRATION_TIME
     on_excluded: abc.Callable[[data.ReplicaId], None] = _do_nothing
 
@@ -62,6 +64,44 @@
     return directory.by_service.get(service, ())
 
 
+def filter_homes(
+    replicas: tuple[data.ListedReplica, ...],
+    homes: frozenset[data.Region],
+    regions: abc.Mapping[data.DataCentre, str],
+) -> tuple[data.ListedReplica, ...]:
+    """Returns the replicas that are in the home regions of a request.
+
+    Args:
+        replicas: Replicas of a service.
+        homes: Home regions; empty for all regions.
+        regions: Region of each data centre.
+    """
+    if not homes:
+        return replicas
+    return tuple(
+        replica for replica in replicas if regions.get(replica.dc) in homes
+    )
+
+
+def set_evacuated(
+    directory: Directory, evacuated: frozenset[data.DataCentre]
+) -> frozenset[data.DataCentre]:
+    """Replaces the set of data centres that are being evacuated.
+
+    Returns:
+        The data centres for which this is a change.
+    """
+    changed = directory.evacuated ^ evacuated
+    directory.evacuated = evacuated
+    for service in {
+        replica.service
+        for replica in directory.replicas.values()
+        if replica.dc in changed
+    }:
+        _rebuild_service(directory, service)
+    return changed
+
+
 def mark_registry_restored(directory: Directory, now: float) -> None:
     """Records that the registry is available again after an outage."""
     directory.restored_at = now
@@ -169,6 +209,7 @@
         if replica.service == service
         and replica.state is data.ListedState.READY
         and replica.replica_id not in directory.misdirected
+        and replica.dc not in directory.evacuated
         and not departure_tables.has_departed(directory.departures, replica)
     )
     addresses = {
--- a/citronweir/core/_routes.py
+++ b/citronweir/core/_routes.py
@@ -18,6 +18,9 @@
         by_host: Routes of each host, sorted by descending prefix length.
         current_weights_by_route: State of the smooth weighted round robin
             of each route that is split among services.
+        tenants: Tenants by name.
+        tenants_by_key: Tenant of each API key, by the digest of the key.
+        tenant_routes: Cached routes with the rank and homes of a tenant.
     """
 
     table: data.RouteTable
@@ -25,6 +28,15 @@
     current_weights_by_route: dict[
         data.RouteName, dict[data.ServiceName, float]
     ] = dataclasses.field(default_factory=dict)
+    tenants: dict[data.TenantName, data.Tenant] = dataclasses.field(
+        default_factory=dict
+    )
+    tenants_by_key: dict[data.KeyDigest, data.Tenant] = dataclasses.field(
+        default_factory=dict
+    )
+    tenant_routes: dict[tuple[data.RouteName, data.TenantName], data.Route] = (
+        dataclasses.field(default_factory=dict)
+    )
 
 
 def index_routes(table: data.RouteTable) -> RouteIndex:
@@ -40,6 +52,12 @@
             )
             for host, routes in by_host.items()
         },
+        tenants={tenant.name: tenant for tenant in table.tenants},
+        tenants_by_key={
+            digest: tenant
+            for tenant in table.tenants
+            for digest in tenant.key_digests
+        },
     )
 
 
--- a/citronweir/nodes/__init__.py
+++ b/citronweir/nodes/__init__.py
@@ -6,8 +6,10 @@
 from citronweir.nodes._calls import send_config
 from citronweir.nodes._calls import send_departures
 from citronweir.nodes._calls import send_gossip
+from citronweir.nodes._calls import send_limited
 from citronweir.nodes._calls import send_reports
 from citronweir.nodes._calls import send_suspect
+from citronweir.nodes._calls import spend
 from citronweir.nodes._links import close_links
 from citronweir.nodes._links import count_open
 from citronweir.nodes._links import has_received
--- a/citronweir/nodes/_calls.py
+++ b/citronweir/nodes/_calls.py
@@ -1,6 +1,8 @@
 """Sends requests and one-way messages to other nodes."""
 
 import asyncio
+import dataclasses
+import math
 import time
 
 from citronweir import core
@@ -156,10 +158,69 @@
     return _send_or_queue(links, address, messages.Departures(departures))
 
 
+async def spend(
+    links: links_.Links,
+    node: core.ListedNode,
+    tenant: core.TenantName,
+    count: float,
+    is_asking: bool,
+    timeout: float,
+) -> core.QuotaDecision | None:
+    """Takes tokens from the quota of a tenant at the node that keeps it.
+
+    Args:
+        links: State of the outgoing streams.
+        node: Node that may keep the quota.
+        tenant: The tenant.
+        count: Number of tokens; negative to give some back.
+        is_asking: Whether a request waits for the decision.
+        timeout: Seconds to wait.
+
+    Returns:
+        The decision, or None if none came.
+    """
+    reply = await _request(
+        links,
+        node,
+        lambda seq: messages.Spend(seq, tenant, count, is_asking),
+        time.monotonic() + timeout,
+    )
+    return reply.decision if isinstance(reply, messages.Spent) else None
+
+
+def send_limited(
+    links: links_.Links,
+    address: core.Address,
+    tenant: core.TenantName,
+    seconds: float,
+) -> bool:
+    """Sends the notice that a tenant is near its limit."""
+    return _send_or_queue(links, address, messages.Limited(tenant, seconds))
+
+
+def _translate_confirmation(link, message):
+    """States the time of a confirmation in the clock of the receiver.
+
+    The pong of the other node is assumed to have taken no time, so the time
+    can only be too early, however long the message waits on its way.
+    """
+    batch = message.batch
+    confirmed_boot = -math.inf
+    if link.clocks is not None:
+        other_boot, own_boot = link.clocks
+        confirmed_boot = other_boot + (batch.confirmed_boot - own_boot)
+    return dataclasses.replace(
+        message,
+        batch=dataclasses.replace(batch, confirmed_boot=confirmed_boot),
+    )
+
+
 def _send_or_queue(links, address, message):
     if links.is_closed:
         return False
     link = links_.get_link(links, address)
+    if isinstance(message, messages.Conf):
+        message = _translate_confirmation(link, message)
     if link.state is links_.LinkState.OPEN:
         frame = codec.encode(message, time.monotonic())
         return streams.send(link.stream, frame)
--- a/citronweir/nodes/_codec.py
+++ b/citronweir/nodes/_codec.py
@@ -15,6 +15,7 @@
 from citronweir.nodes import _departures as departures
 from citronweir.nodes import _groups as groups
 from citronweir.nodes import _messages as messages
+from citronweir.nodes import _quotas as quotas
 from citronweir.nodes import _records as records
 from citronweir.nodes import _reports as reports
 
@@ -202,6 +203,11 @@
         # None if the sender has never confirmed its records with the store.
         'age': batch.age if math.isfinite(batch.age) else None,
         'more': batch.more,
+        'at': (
+            batch.confirmed_boot
+            if math.isfinite(batch.confirmed_boot)
+            else None
+        ),
     }
 
 
@@ -209,17 +215,32 @@
     seq = records.check_uint(fields['s'])
     if 'c' not in fields:
         return messages.Conf(seq, None)
-    age = fields.get('age')
+    age, confirmed_boot = fields.get('age'), fields.get('at')
     batch = core.ConfigBatch(
         records.unpack_configs(fields['c']),
         core.Revision(records.check_uint(fields['to'])),
         core.Revision(records.check_uint(fields['from'])),
         math.inf if age is None else records.check_nonnegative(age),
         records.check_bool(fields.get('more', False)),
+        -math.inf
+        if confirmed_boot is None
+        else records.check_finite(confirmed_boot),
     )
     return messages.Conf(seq, batch)
 
 
+def _encode_pong(message, now):
+    return {'s': message.seq, 'at': message.wall, 'bt': message.boot}
+
+
+def _decode_pong(fields, now):
+    return messages.Pong(
+        records.check_uint(fields['s']),
+        records.check_nonnegative(fields['at']),
+        records.check_nonnegative(fields.get('bt', 0.0)),
+    )
+
+
 def _encode_suspect(message, now):
     record = message.record
     return {
@@ -270,7 +291,6 @@
 _SENDER = ('sender', 'm', records.encode_member, records.decode_member)
 _TARGET = ('target', 'tm', records.encode_member, records.decode_member)
 _UPDATES = ('updates', 'u', _encode_updates, _decode_updates)
-_WALL = ('wall', 'at', _unchanged, records.check_nonnegative)
 _COMPLETE_TO = ('complete_to', 'to', _unchanged, records.check_uint)
 _SUMS = (
     'sums',
@@ -315,7 +335,7 @@
             'welcome', messages.Welcome, _VERSION, _NODE, _INCARNATION, _MAC
         ),
         _make_codec('ping', messages.Ping, _SEQ),
-        _make_codec('pong', messages.Pong, _SEQ, _WALL),
+        (messages.Pong, ('pong', _encode_pong, _decode_pong)),
         _make_codec('bye', messages.Bye),
         _make_codec('cancel', messages.Cancel, _SEQ),
         _make_codec('sync', messages.Sync, _SEQ, _COMPLETE_TO),
@@ -344,6 +364,12 @@
             ),
         ),
         (messages.Suspect, ('suspect', _encode_suspect, _decode_suspect)),
+        (messages.Spend, ('spend', quotas.encode_spend, quotas.decode_spend)),
+        (messages.Spent, ('spent', quotas.encode_spent, quotas.decode_spent)),
+        (
+            messages.Limited,
+            ('limited', quotas.encode_limited, quotas.decode_limited),
+        ),
         (
             messages.Gather,
             ('gather', groups.encode_gather, groups.decode_gather),
--- a/citronweir/nodes/_codec_test.py
+++ b/citronweir/nodes/_codec_test.py
@@ -81,7 +81,7 @@
     messages.Hello(1, 'n1', 5, 'dc1', b'mac', b'nonce'),
     messages.Welcome(1, 'n1', 5, b'mac'),
     messages.Ping(1),
-    messages.Pong(1, 1.5),
+    messages.Pong(1, 1.5, 7.25),
     messages.Bye(),
     messages.Call(1, core.ReplicaId('r1'), SEARCH),
     messages.Call(2, core.ReplicaId('r1'), ORDER),
@@ -95,6 +95,9 @@
     messages.Sync(5, core.Revision(9)),
     messages.Conf(0, core.ConfigBatch((RECORD,))),
     messages.Conf(5, core.ConfigBatch((RECORD,), 9, 3, 0.5, True)),
+    messages.Conf(
+        0, core.ConfigBatch((RECORD,), 9, 3, 0.5, confirmed_boot=-4.5)
+    ),
     messages.Reports(
         (
             (
@@ -126,6 +129,9 @@
     core.Join(MEMBER),
     core.Table(MEMBER, (REPLICA,), True),
     core.Digest(MEMBER, (1, 2, 3), True),
+    messages.Spend(4, core.TenantName('t'), -1.0, True),
+    messages.Spent(4, core.QuotaDecision(True, False, 0.5, 2.0)),
+    messages.Limited(core.TenantName('t'), 2.0),
 )
 
 
--- a/citronweir/nodes/_groups.py
+++ b/citronweir/nodes/_groups.py
@@ -24,6 +24,9 @@
     core.NotRunReason.QUARANTINED,
     core.NotRunReason.LEAVING,
     core.NotRunReason.PAUSED,
+    core.NotRunReason.KEY_WITHDRAWN,
+    core.NotRunReason.UNCONFIRMED,
+    core.NotRunReason.OVER_QUOTA,
 )
 _FAILURE_REASONS = (
     core.FailureReason.DEADLINE_PASSED,
@@ -47,6 +50,7 @@
         'h': [list(pair) for pair in req.headers],
         'b': req.body,
         'c': req.caller,
+        'k': _encode_identity(req.identity),
         'due': max(0.0, query.due - now),
         'left': max(0.0, query.deadline - now),
         'z': message.accepts_packed,
@@ -77,6 +81,7 @@
         records.check_bytes(fields['b']),
         left,
         core.CallerId(records.check_str(fields.get('c', ''))),
+        identity=_decode_identity(fields.get('k')),
     )
     query = core.GroupQuery(
         records.check_uint(fields['v']),
@@ -116,6 +121,20 @@
     return messages.Group(records.check_uint(fields['s']), answer)
 
 
+def _encode_identity(identity):
+    return None if identity is None else [identity.tenant, identity.digest]
+
+
+def _decode_identity(value):
+    if value is None:
+        return None
+    tenant, digest, *_ = records.check_list(value)
+    return core.Identity(
+        core.TenantName(records.check_str(tenant)),
+        core.KeyDigest(records.check_str(digest)),
+    )
+
+
 def _decode_header(item):
     name, value, *_ = records.check_list(item)
     return records.check_str(name), records.check_str(value)
--- a/citronweir/nodes/_links.py
+++ b/citronweir/nodes/_links.py
@@ -65,6 +65,8 @@
         missed_pings: Pings sent since the last message was received.
         last_used: Monotonic second of the last use, pings excluded.
         pinged_at: Monotonic second of the last ping.
+        clocks: Boot clock of the other node in its last pong, and of this
+            node on its arrival, in seconds; None before the first pong.
         clock_logged_at: Monotonic second at which a clock difference was
             last logged.
     """
@@ -84,6 +86,7 @@
     missed_pings: int = 0
     last_used: float = 0.0
     pinged_at: float = 0.0
+    clocks: tuple[float, float] | None = None
     clock_logged_at: float = 0.0
 
 
@@ -267,6 +270,9 @@
     for message in link.queued:
         streams.send(stream, codec.encode(message, now))
     link.queued.clear()
+    # Measures the clock of the other node before anything depends on it.
+    link.clocks, link.pinged_at = None, now
+    streams.send(stream, codec.encode(messages.Ping(0), now))
     link.task = asyncio.create_task(_read_stream(links, link, stream))
 
 
@@ -321,9 +327,12 @@
 def _handle(links, link, message):
     link.missed_pings = 0
     match message:
-        case messages.Reply() | messages.Conf() | messages.Group() if (
-            message.seq
-        ):
+        case (
+            messages.Reply()
+            | messages.Conf()
+            | messages.Group()
+            | messages.Spent()
+        ) if message.seq:
             future = link.pending_replies.pop(message.seq, None)
             if future is not None and not future.done():
                 future.set_result(message)
@@ -334,6 +343,9 @@
             links.draining.add(link)
             close_if_drained(links, link)
         case messages.Pong():
+            if message.boot:
+                boot_now = time.clock_gettime(time.CLOCK_BOOTTIME)
+                link.clocks = message.boot, boot_now
             _compare_clocks(link, message.wall)
 
 
--- a/citronweir/nodes/_messages.py
+++ b/citronweir/nodes/_messages.py
@@ -59,10 +59,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pong:
-    """Answers a Ping with the wall clock of the listener."""
+    """Answers a Ping with the clocks of the listener.
+
+    Attributes:
+        boot: Boot clock in seconds, 0 if the listener doesn't state it.
+    """
 
     seq: int
     wall: float
+    boot: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,7 +108,8 @@
 
     Attributes:
         batch: The records, or None while the node has no complete
-            configuration.
+            configuration. ``confirmed_boot`` is sent in the boot clock of
+            the receiver.
     """
 
     seq: int
@@ -162,6 +168,42 @@
     departures: tuple[core.Departure, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spend:
+    """Takes tokens from the quota of a tenant, which the receiver keeps.
+
+    Attributes:
+        count: Number of tokens; negative to give some back.
+        is_asking: Whether the request waits for the decision. Otherwise the
+            tokens were used already.
+    """
+
+    seq: int
+    tenant: core.TenantName
+    count: float
+    is_asking: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spent:
+    """Answer to a Spend."""
+
+    seq: int
+    decision: core.QuotaDecision
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limited:
+    """Tells nodes to ask for a token before each request of a tenant.
+
+    Attributes:
+        seconds: Time for which this holds.
+    """
+
+    tenant: core.TenantName
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bye:
     """Announces that the listener shuts down.
@@ -188,6 +230,9 @@
     | Suspect
     | Reports
     | Departures
+    | Spend
+    | Spent
+    | Limited
     | Bye
     | core.Gossip
 )
--- a/citronweir/nodes/_server.py
+++ b/citronweir/nodes/_server.py
@@ -61,6 +61,14 @@
     """Drops departures; probes of the owner find out about them."""
 
 
+def _decline_spend(dc, tenant, count, is_asking):
+    return core.QuotaDecision(is_keeper=False)
+
+
+def _ignore_limited(dc, tenant, seconds):
+    """Drops notices; only nodes on the users' platform have tenants."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Handlers:
     """Callbacks for the messages of other nodes.
@@ -81,6 +89,12 @@
             centre of the node that sent them.
         run_group: Sends a query to a group of shards; cancelled like
             ``run_sub``.
+        spend: Takes tokens from the quota of a tenant, given the data centre
+            of the node that asks, their number and whether a request waits
+            for the decision.
+        on_limited: Receives the notice that a tenant is near its limit, with
+            the seconds for which it holds, and the data centre of the node
+            that sent it.
     """
 
     run_sub: abc.Callable[
@@ -99,6 +113,12 @@
     on_departures: abc.Callable[
         [core.DataCentre, tuple[core.Departure, ...]], None
     ] = _ignore_departures
+    spend: abc.Callable[
+        [core.DataCentre, core.TenantName, float, bool], core.QuotaDecision
+    ] = _decline_spend
+    on_limited: abc.Callable[
+        [core.DataCentre, core.TenantName, float], None
+    ] = _ignore_limited
 
 
 @dataclasses.dataclass(slots=True)
@@ -301,7 +321,8 @@
             if task is not None:
                 task.cancel()
         case messages.Ping():
-            _send(stream, messages.Pong(message.seq, time.time()))
+            boot = time.clock_gettime(time.CLOCK_BOOTTIME)
+            _send(stream, messages.Pong(message.seq, time.time(), boot))
         case messages.Sync():
             batch = handlers.read_config(message.complete_to)
             _send(stream, messages.Conf(message.seq, batch))
@@ -313,6 +334,13 @@
             handlers.on_reports(dc, message.reports)
         case messages.Departures():
             handlers.on_departures(dc, message.departures)
+        case messages.Spend():
+            decision = handlers.spend(
+                dc, message.tenant, message.count, message.is_asking
+            )
+            _send(stream, messages.Spent(message.seq, decision))
+        case messages.Limited():
+            handlers.on_limited(dc, message.tenant, message.seconds)
         case _ if isinstance(message, core.Gossip):
             handlers.on_gossip(message)
 
--- a/citronweir/platform/__init__.py
+++ b/citronweir/platform/__init__.py
@@ -22,6 +22,7 @@
 from citronweir.platform._replicas import make_encoder
 from citronweir.platform._replicas import make_reply_matcher
 from citronweir.platform._store import Changes
+from citronweir.platform._store import config_copy_key
 from citronweir.platform._store import conviction_key
 from citronweir.platform._store import end_lease
 from citronweir.platform._store import grant_lease
@@ -34,5 +35,6 @@
 from citronweir.platform._store import StoreCallError
 from citronweir.platform._store import StoreFault
 from citronweir.platform._store import wait_changes
+from citronweir.platform._store import write_config_copy
 from citronweir.platform._store import write_conviction
 from citronweir.platform._store import write_node
--- a/citronweir/platform/_boot.py
+++ b/citronweir/platform/_boot.py
@@ -17,6 +17,10 @@
 # The platform's settings have no metrics port, so deploy/system.toml states
 # this one, a customary port of metrics exporters.
 METRICS_PORT = 9464
+# Share of the time for withdrawals that covers the difference between the
+# rates of two clocks, and the time between the check of a key and the write to
+# the connection.
+KEY_AGE_MARGIN = 0.02
 _DEFAULT_PATH = '/etc/citronweir/settings.toml'
 
 
@@ -37,6 +41,10 @@
         extra_attempt_slack: Extra attempts that are allowed in a window in
             addition to the ratio.
         extra_attempt_window: Length of the window, seconds.
+        max_key_age: Age, in seconds, from which the list of API keys must
+            not be used; infinity if withdrawn keys may be used for longer.
+        quota_slack: Requests of a tenant that may run beyond its quota
+            before the platform objects.
     """
 
     node_id: core.NodeId
@@ -51,6 +59,8 @@
     extra_attempt_ratio: float
     extra_attempt_slack: float
     extra_attempt_window: float
+    max_key_age: float = math.inf
+    quota_slack: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,9 +131,18 @@
         extra_attempt_window=_parse_nonnegative(
             bounds, 'retry_window_s', 10.0
         ),
+        max_key_age=_decode_max_key_age(bounds),
+        quota_slack=_parse_nonnegative(bounds, 'quota_slack', 0.0),
     )
 
 
+def _decode_max_key_age(bounds):
+    if bounds.get('strict_revoke') is not True:
+        return math.inf
+    limit = _parse_nonnegative(bounds, 'revoke_ms', 5000.0) / 1000
+    return limit * (1 - KEY_AGE_MARGIN)
+
+
 def _parse_ports(first, last):
     ports = _parse_port(first), _parse_port(last)
     if ports[0] > ports[1]:
--- a/citronweir/platform/_catalogue.py
+++ b/citronweir/platform/_catalogue.py
@@ -61,8 +61,11 @@
 
 
 def _decode_value(key, value):
-    if key == names.CONFIG_KEY:
+    if key in (names.CONFIG_KEY, names.CONFIG_COPY_KEY):
         return decode_routes(json.loads(value))
+    if key.startswith(names.EVACUATIONS_PREFIX):
+        dc = _require_name(key[len(names.EVACUATIONS_PREFIX) :])
+        return core.Evacuation(core.DataCentre(dc))
     if key.startswith(names.REPLICAS_PREFIX):
         replica_id = core.ReplicaId(key[len(names.REPLICAS_PREFIX) :])
         return decode_replica(replica_id, json.loads(value))
@@ -165,6 +168,7 @@
             _seconds_from_ms(limits.get('header_timeout_ms', 3000)),
             _seconds_from_ms(limits.get('idle_timeout_ms', 15000)),
         ),
+        tuple(_decode_tenant(item) for item in fields.get('tenants') or ()),
     )
 
 
@@ -224,11 +228,7 @@
         _require_text(item['host']).lower(),
         _require_text(item['path_prefix']),
         core.Idempotency(item['kind']),
-        _RANKS_BY_PRIORITY[
-            min(
-                _require_integer(item['priority']), len(_RANKS_BY_PRIORITY) - 1
-            )
-        ],
+        _decode_rank(item['priority']),
         _seconds_from_ms(item['goal_ms']),
         _seconds_from_ms(item['timeout_ms']),
         max(1, _require_integer(item.get('max_attempts', 1))),
@@ -236,9 +236,54 @@
         shards,
         _require_integer(item.get('top_k', 0)),
         float(item.get('min_shard_ratio', 0.0)),
+        item.get('public') is True,
+        _decode_regions(item),
+    )
+
+
+def _decode_tenant(item):
+    priority = item.get('priority')
+    return core.Tenant(
+        core.TenantName(_require_visible(item['name'])),
+        frozenset(
+            core.KeyDigest(_require_name(digest))
+            for digest in item.get('key_digests', ())
+        ),
+        None if priority is None else _decode_rank(priority),
+        _require_nonnegative(item.get('rate_per_s') or 0),
+        _require_nonnegative(item.get('burst') or 0),
+        _decode_regions(item),
     )
 
 
+def _decode_regions(item):
+    return frozenset(
+        core.Region(_require_name(region))
+        for region in item.get('allowed_regions') or ()
+    )
+
+
+def _decode_rank(priority):
+    last = len(_RANKS_BY_PRIORITY) - 1
+    return _RANKS_BY_PRIORITY[
+        _require_range(min(_require_integer(priority), last), 0, last)
+    ]
+
+
+def _require_nonnegative(value):
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f'not a number: {value!r}')
+    return float(_require_range(value, 0, _MAX_MILLISECONDS))
+
+
+def _require_visible(value):
+    """Requires a text that can be sent as a request header."""
+    text = _require_name(value)
+    if not _REPLICA_ID.fullmatch(text):
+        raise ValueError('not visible ASCII')
+    return text
+
+
 def _require_text(value):
     if not isinstance(value, str):
         raise TypeError(f'not a string: {value!r}')
--- a/citronweir/platform/_ingress.py
+++ b/citronweir/platform/_ingress.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from citronweir import core
+from citronweir.platform import _keys as keys
 from citronweir.platform import _names as names
 
 # Callers reuse connections that have been idle for most of the configured
@@ -56,7 +57,10 @@
         names.EXPECTED_REPLICA.lower(),
     }
 )
+_AUTHORIZATION = names.AUTHORIZATION.lower()
+_IDENTITY_HEADERS = frozenset({_AUTHORIZATION, names.TENANT.lower()})
 _MIN_RETRY_AFTER = 0.05  # seconds
+_OVER_QUOTA_STATUS = 429
 
 RequestHandler = abc.Callable[
     [core.HttpRequest], abc.Awaitable[core.RequestOutcome]
@@ -234,6 +238,13 @@
         )
         if name.lower() not in excluded
     )
+    identity_headers = tuple(
+        item for item in headers if item[0].lower() in _IDENTITY_HEADERS
+    )
+    if identity_headers:
+        headers = tuple(
+            item for item in headers if item not in identity_headers
+        )
     return core.HttpRequest(
         core.RequestId(request_id),
         request.method,
@@ -246,6 +257,10 @@
         conn.round_trip,
         # The caller of the first request has also waited for the handshake.
         conn.round_trip if conn.requests == 1 else 0.0,
+        identity_headers,
+        keys.decode_credential(
+            request.headers.getall(names.AUTHORIZATION, [])
+        ),
     )
 
 
@@ -279,10 +294,15 @@
                 names.MISSING_SHARDS: str(missing),
             }
             return web.Response(status=200, body=body, headers=headers)
-        case core.Declined(_, retry_after):
+        case core.Declined(reason, retry_after):
             seconds = max(_MIN_RETRY_AFTER, retry_after)
             headers = {names.RETRY_AFTER: f'{seconds:.3f}'}
-            return web.Response(status=503, headers=headers)
+            is_over_quota = reason is core.NotRunReason.OVER_QUOTA
+            status = _OVER_QUOTA_STATUS if is_over_quota else 503
+            return web.Response(status=status, headers=headers)
+        case core.Unauthorised():
+            headers = {'WWW-Authenticate': 'Bearer'}
+            return web.Response(status=401, headers=headers)
         case core.NoRoute():
             return web.Response(status=404)
         case core.Unanswered(core.FailureReason.DEADLINE_PASSED):
--- a/citronweir/platform/_names.py
+++ b/citronweir/platform/_names.py
@@ -11,8 +11,10 @@
 END_PATH = '/citronweir/kv-lease-end'
 
 CONFIG_KEY = 'op/config'
+EVACUATIONS_PREFIX = 'op/evacuate/'
 REPLICAS_PREFIX = 'servers/'
 # Written by the nodes of this system; other systems write the keys above.
+CONFIG_COPY_KEY = 'citronweir/config'
 NODES_PREFIX = 'citronweir/nodes/'
 CONVICTIONS_PREFIX = 'citronweir/convictions/'
 
@@ -26,3 +28,6 @@
 MISSING_SHARDS = 'X-Parts-Missing'
 RETRY_AFTER = 'Retry-After'
 LEAVING = 'Server-Leaving'
+AUTHORIZATION = 'Authorization'
+TENANT = 'X-Tenant'
+STORE_ERA = 'Store-Era'
--- a/citronweir/platform/_replicas.py
+++ b/citronweir/platform/_replicas.py
@@ -36,6 +36,8 @@
     lines = [f'{req.method} {req.target} HTTP/1.1', f'Host: {req.host}']
     lines += [f'{name}: {value}' for name, value in req.headers]
     lines.append(f'{names.REQUEST_ID}: {req.request_id}')
+    if req.identity is not None:
+        lines.append(f'{names.TENANT}: {req.identity.tenant}')
     if req.body or req.method not in ('GET', 'HEAD'):
         lines.append(f'Content-Length: {len(req.body)}')
     head = '\r\n'.join(lines)
--- a/citronweir/platform/_store.py
+++ b/citronweir/platform/_store.py
@@ -15,6 +15,7 @@
 
 from citronweir import core
 from citronweir.platform import _catalogue as catalogue
+from citronweir.platform import _keys as keys
 from citronweir.platform import _names as names
 
 CALL_TIMEOUT = 1.0  # seconds, for each call or page but a watch
@@ -42,6 +43,14 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reply:
+    """Decoded reply and the era that the store stated with it."""
+
+    fields: dict
+    era: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lease:
     """Lease in the store; the keys attached to it are deleted when it ends.
@@ -100,15 +109,20 @@
         params = {'path_prefix': ''}
         if after is not None:
             params['after'] = after
-        fields = await _get_json(
+        reply = await _get_json(
             session, store, names.RANGE_PATH, params, CALL_TIMEOUT
         )
-        if isinstance(fields, StoreCallError):
-            return fields
+        if isinstance(reply, StoreCallError):
+            return reply
+        fields = reply.fields
         try:
-            page = [_decode_key_value(item) for item in fields['items']]
+            page = [
+                _decode_key_value(item, reply.era) for item in fields['items']
+            ]
             if revision is None:
-                revision = int(fields['current_rev'])
+                revision = _decode_revision(fields['current_rev'], reply.era)
+            if reply.era != core.find_era(revision):
+                return _make_era_error()
             has_more = bool(fields['has_more'])
         except (KeyError, TypeError, ValueError) as exc:
             return StoreCallError(StoreFault.MALFORMED, repr(exc))
@@ -116,7 +130,7 @@
         if not has_more or not page:
             break
         after = page[-1].key
-    return Listing(tuple(items), core.Revision(revision))
+    return Listing(tuple(items), revision)
 
 
 async def wait_changes(
@@ -135,22 +149,25 @@
 
     Returns:
         The changes, possibly none. After COMPACTED the caller must read
-        all keys again.
+        all keys again; so it is if the store returned from an older copy.
     """
     params = {
         'path_prefix': '',
-        'after': str(after),
+        'after': str(core.find_store_revision(after)),
         'wait_ms': str(round(wait * 1000)),
     }
-    fields = await _get_json(
+    reply = await _get_json(
         session, store, names.WATCH_PATH, params, wait + WATCH_TIMEOUT_MARGIN
     )
-    if isinstance(fields, StoreCallError):
-        return fields
+    if isinstance(reply, StoreCallError):
+        return reply
+    fields, era = reply.fields, reply.era
+    if era != core.find_era(after):
+        return _make_era_error()
     try:
         return Changes(
-            tuple(_decode_key_value(item) for item in fields['events']),
-            core.Revision(int(fields['current_rev'])),
+            tuple(_decode_key_value(item, era) for item in fields['events']),
+            _decode_revision(fields['current_rev'], era),
         )
     except (KeyError, TypeError, ValueError) as exc:
         return StoreCallError(StoreFault.MALFORMED, repr(exc))
@@ -167,11 +184,12 @@
         ttl: Seconds until the lease expires unless it is renewed.
     """
     body = {'ttl_ms': round(ttl * 1000)}
-    fields = await _call_json(
+    reply = await _call_json(
         session, store, 'POST', names.GRANT_PATH, CALL_TIMEOUT, json=body
     )
-    if isinstance(fields, StoreCallError):
-        return fields
+    if isinstance(reply, StoreCallError):
+        return reply
+    fields = reply.fields
     try:
         return Lease(int(fields['lease']), int(fields['ttl_ms']) / 1000)
     except (KeyError, TypeError, ValueError) as exc:
@@ -252,7 +270,9 @@
     """
     key = conviction_key(write.fingerprint)
     body = {
-        'expect_rev': [{'key': key, 'revision': revision}],
+        'expect_rev': [
+            {'key': key, 'revision': core.find_store_revision(revision)}
+        ],
         'puts': [],
         'remove': [],
     }
@@ -268,6 +288,40 @@
     return fields if isinstance(fields, StoreCallError) else None
 
 
+async def write_config_copy(
+    session: aiohttp.ClientSession,
+    store: core.Address,
+    value: str,
+    revision: core.Revision,
+) -> StoreCallError | None:
+    """Writes the configuration in force that the store has lost.
+
+    Nodes may not write the operator's key, so it gets one of its own.
+
+    Args:
+        session: Client session.
+        store: Address of the store.
+        value: Configuration with digests in place of its keys.
+        revision: Revision of the copy that is replaced, 0 if there is none.
+    """
+    raw = base64.b64encode(value.encode()).decode()
+    expected = core.find_store_revision(revision)
+    body = {
+        'expect_rev': [{'key': names.CONFIG_COPY_KEY, 'revision': expected}],
+        'puts': [{'key': names.CONFIG_COPY_KEY, 'value': raw, 'lease': 0}],
+        'remove': [],
+    }
+    reply = await _call_json(
+        session, store, 'POST', names.WRITE_PATH, CALL_TIMEOUT, json=body
+    )
+    return reply if isinstance(reply, StoreCallError) else None
+
+
+def config_copy_key() -> core.ConfigKey:
+    """Returns the key of the configuration that nodes have written again."""
+    return core.ConfigKey(names.CONFIG_COPY_KEY)
+
+
 async def _get_json(session, store, path, params, timeout_seconds):
     return await _call_json(
         session, store, 'GET', path, timeout_seconds, params=params
@@ -298,14 +352,30 @@
         return StoreCallError(StoreFault.MALFORMED, str(exc))
     if not isinstance(fields, dict):
         return StoreCallError(StoreFault.MALFORMED, 'not an object')
-    return fields
+    return _Reply(fields, _decode_era(resp.headers.get(names.STORE_ERA, '0')))
+
+
+def _decode_era(text):
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
+def _make_era_error():
+    return StoreCallError(StoreFault.COMPACTED, 'another era of the store')
+
+
+def _decode_revision(value, era):
+    return core.join_revision(era, int(value))
 
 
-def _decode_key_value(fields):
-    key, revision = fields['key'], core.Revision(int(fields['revision']))
+def _decode_key_value(fields, era):
+    key = fields['key']
+    revision = _decode_revision(fields['revision'], era)
     if fields.get('removed'):
         return KeyValue(key, '', revision)
-    return KeyValue(key, _decode_value(fields['value']), revision)
+    value = _decode_value(fields['value'])
+    if key == names.CONFIG_KEY:
+        value = keys.redact_keys(value)
+    return KeyValue(key, value, revision)
 
 
 def _decode_value(raw):
--- a/citronweir/platform/_store_test.py
+++ b/citronweir/platform/_store_test.py
@@ -37,11 +37,11 @@
     store = stores.Store()
     async with _run(store) as store_args:
         after = core.Revision(store.revision)
-        stores.put(store, 'op/config', b'one')
+        stores.put(store, 'op/config', b'{}')
         stores.put(store, 'op/config', b'')
         stores.remove(store, 'op/config')
         changes = await platform.wait_changes(*store_args, after, 1.0)
-    assert [item.value for item in changes.items] == ['one', '\ufffd', '']
+    assert [item.value for item in changes.items] == ['{}', '\ufffd', '']
     assert changes.revision == store.revision
 
 
@@ -89,12 +89,12 @@
 async def test_read_is_never_stale():
     """Guards against a node that starts with an outdated configuration."""
     store = stores.Store()
-    stores.put(store, 'op/config', b'old')
+    stores.put(store, 'op/config', b'{"version": 1}')
     stores.freeze_stale_reads(store)
-    stores.put(store, 'op/config', b'new')
+    stores.put(store, 'op/config', b'{"version": 2}')
     async with _run(store) as store_args:
         listing = await platform.read_all(*store_args)
-    assert [item.value for item in listing.items] == ['new']
+    assert [item.value for item in listing.items] == ['{"version": 2}']
     assert listing.revision == store.revision
 
 
--- a/citronweir/programs/_compose_front.py
+++ b/citronweir/programs/_compose_front.py
@@ -21,6 +21,7 @@
 from citronweir.programs import _front_notices as notices
 from citronweir.programs import _front_requests as requests
 from citronweir.programs import _front_store as store
+from citronweir.programs import _front_tenants as tenants
 
 UPKEEP_INTERVAL = 0.25  # seconds
 # Shares of the time between SIGTERM and SIGKILL after which a node starts to
@@ -105,7 +106,8 @@
         core.Address(boot.host, platform.METRICS_PORT),
         {'/metrics': lambda: (200, _render_metrics(ctx))},
     )
-    request_deps = requests.make_request_dependencies(ctx)
+    quota_deps = tenants.make_quota_dependencies(ctx)
+    request_deps = requests.make_request_dependencies(ctx, quota_deps)
 
     async def handle(req):
         return await service.run_request(request_deps, req)
@@ -117,7 +119,9 @@
     node_server = await nodes.start_server(
         ctx.own.address,
         ctx.identity,
-        front_nodes.make_node_handlers(ctx, request_deps, config_deps),
+        front_nodes.make_node_handlers(
+            ctx, request_deps, config_deps, quota_deps
+        ),
     )
     tasks = _start_tasks(ctx, config_deps)
     registration = asyncio.create_task(
@@ -198,14 +202,18 @@
 
 
 def _is_ready(ctx):
-    return ctx.catalogue.index is not None and not ctx.is_stopping
+    return (
+        ctx.catalogue.index is not None
+        and not ctx.is_stopping
+        and tenants.serves_tenants(ctx)
+    )
 
 
 def _render_metrics(ctx):
     catalogue, state = ctx.catalogue, ctx.config.state
     index = catalogue.index
     now = time.monotonic()
-    age = max(0.0, now - ctx.config.confirmed_at)
+    age = max(0.0, service.read_boot_clock() - ctx.config.confirmed_boot)
     suspect_counts = core.count_states(ctx.crash_reports, now)
     return telemetry.render(
         ctx.counters,
@@ -220,6 +228,9 @@
             ),
             'replicas_departed': len(catalogue.directory.departures.epochs),
             'replicas_paused': len(ctx.pauses),
+            'data_centres_evacuated': len(catalogue.directory.evacuated),
+            'quotas_kept': len(ctx.quotas.buckets),
+            'tenants_limited_now': len(ctx.quotas.limited_until),
             'connections': upstreams.count_conns(ctx.channels),
             'connections_opened': ctx.channels.opened_total,
             'requests_suspected': suspect_counts[core.SuspectState.SUSPECT],
@@ -249,6 +260,7 @@
     core.expire_entries(directory, now)
     core.expire_departures(directory.departures, directory.replicas, now)
     core.expire_pauses(ctx.pauses, now)
+    service.expire_quotas(ctx.quotas, now)
     core.expire_nodes(ctx.catalogue.nodes, now)
     ctx.extra.nodes = core.count_nodes(
         ctx.catalogue.nodes,
--- a/citronweir/programs/_front_context.py
+++ b/citronweir/programs/_front_context.py
@@ -1,5 +1,6 @@
 """Defines the state of a front node, which all its wiring shares."""
 
+import asyncio
 import dataclasses
 import math
 import random
@@ -26,15 +27,19 @@
             of the node that answered.
         node_loads: Load and latency observed for each other node.
         round_trips: Seconds of a network round trip to each node.
-        plans: Cached groups by route and plan variant, with the route that
-            they were made for and the monotonic second of their expiry.
+        plans: Cached groups by route, its home regions and plan variant, with
+            the shards that they were made for and the monotonic second of
+            their expiry.
         crash_reports: Requests that ran at replicas when these crashed.
         unsent_reports: Crash reports to send to other nodes next.
         convictions: Refused requests that the store records.
         pauses: Replicas that asked this node for a pause.
+        quotas: Quotas of tenants that this node keeps or draws on.
         plan_variant: Variant of the cached groups in use.
         last_request_number: Number of the last request to a replica or
             node.
+        store_era: Era of the store that this node's records come from.
+        config_write: Writes a configuration that the store has lost.
         store_lost_at: Monotonic second since which the store has not
             answered, or None.
         is_stopping: Whether the node received SIGTERM.
@@ -77,8 +82,10 @@
         default_factory=dict
     )
     plans: dict[
-        tuple[core.RouteName, int],
-        tuple[core.Route, float, tuple[core.ShardGroup, ...]],
+        tuple[core.RouteName, frozenset[core.Region], int],
+        tuple[
+            tuple[core.ServiceName, ...], float, tuple[core.ShardGroup, ...]
+        ],
     ] = dataclasses.field(default_factory=dict)
     registration: service.Registration = dataclasses.field(
         default_factory=service.Registration
@@ -93,8 +100,11 @@
         default_factory=core.ConvictionTable
     )
     pauses: core.PauseTable = dataclasses.field(default_factory=dict)
+    quotas: service.Quotas = dataclasses.field(default_factory=service.Quotas)
     plan_variant: int = 0
     last_request_number: int = 0
+    store_era: int = 0
+    config_write: asyncio.Task | None = None
     store_lost_at: float | None = None
     is_stopping: bool = False
     stop_at: float = math.inf
--- a/citronweir/programs/_front_nodes.py
+++ b/citronweir/programs/_front_nodes.py
@@ -10,6 +10,7 @@
 from citronweir.programs import _front_context as contexts
 from citronweir.programs import _front_crash_reports as crash_reports
 from citronweir.programs import _front_notices as notices
+from citronweir.programs import _front_tenants as tenants
 
 # A round of anti-entropy ends without a result if the peer has not answered
 # within this time.
@@ -36,6 +37,7 @@
     ctx: contexts.FrontContext,
     request_deps: service.RequestDependencies,
     config_deps: service.ConfigDependencies,
+    quota_deps: service.QuotaDependencies,
 ) -> nodes.Handlers:
     """Builds the handlers of messages from other nodes."""
 
@@ -65,6 +67,12 @@
         on_reports=lambda dc, reports: crash_reports.receive_reports(
             ctx, dc, reports
         ),
+        spend=lambda dc, name, count, is_asking: service.spend_tokens(
+            quota_deps, ctx.quotas, name, count, is_asking, dc
+        ),
+        on_limited=lambda dc, name, seconds: tenants.receive_limited(
+            ctx, quota_deps, dc, name, seconds
+        ),
     )
 
 
@@ -157,19 +165,20 @@
 
 def _get_cached_plan(ctx, route):
     now = time.monotonic()
-    key = (route.name, ctx.plan_variant)
+    key = (route.name, route.homes, ctx.plan_variant)
     cached = ctx.plans.get(key)
-    if cached is not None and cached[0] is route and now < cached[1]:
+    # Routes of different tenants share the shards, and the plans with them.
+    if cached and cached[0] is route.shards and now < cached[1]:
         return cached[2]
     groups = core.plan_groups(
         route,
-        lambda name: core.list_usable(ctx.catalogue.directory, name),
+        lambda name: notices.list_usable(ctx, name, route.homes),
         list_nodes(ctx),
         ctx.own.node_id,
         ctx.locality,
         ctx.plan_variant,
     )
-    ctx.plans[key] = (route, now + PLAN_TTL, groups)
+    ctx.plans[key] = (route.shards, now + PLAN_TTL, groups)
     return groups
 
 
--- a/citronweir/programs/_front_notices.py
+++ b/citronweir/programs/_front_notices.py
@@ -90,11 +90,23 @@
         telemetry.log(event, replica=replica_id, count=count)
 
 
+def list_usable(
+    ctx: contexts.FrontContext,
+    name: core.ServiceName,
+    homes: frozenset[core.Region] = frozenset(),
+) -> tuple[core.ListedReplica, ...]:
+    """Lists the replicas in the home regions that accept new requests."""
+    usable = core.list_usable(ctx.catalogue.directory, name)
+    return core.filter_homes(usable, homes, ctx.locality.regions)
+
+
 def list_available(
-    ctx: contexts.FrontContext, name: core.ServiceName
+    ctx: contexts.FrontContext,
+    name: core.ServiceName,
+    homes: frozenset[core.Region] = frozenset(),
 ) -> tuple[core.ListedReplica, ...]:
     """Lists the replicas of a service that accept a request now."""
-    usable = core.list_usable(ctx.catalogue.directory, name)
+    usable = list_usable(ctx, name, homes)
     if not ctx.pauses:
         return usable
     now = time.monotonic()
@@ -110,11 +122,15 @@
     )
 
 
-def find_pause(ctx: contexts.FrontContext, name: core.ServiceName) -> float:
+def find_pause(
+    ctx: contexts.FrontContext,
+    name: core.ServiceName,
+    homes: frozenset[core.Region] = frozenset(),
+) -> float:
     """Returns the seconds until a replica of a service is not paused."""
     if not ctx.pauses:
         return 0.0
-    usable = core.list_usable(ctx.catalogue.directory, name)
+    usable = list_usable(ctx, name, homes)
     ids = [replica.replica_id for replica in usable]
     return core.find_pause(ctx.pauses, ids, time.monotonic())
 
--- a/citronweir/programs/_front_notices_test.py
+++ b/citronweir/programs/_front_notices_test.py
@@ -15,6 +15,7 @@
 from citronweir.programs import _front_requests as requests
 
 SERVICE = core.ServiceName('s')
+ANYWHERE = frozenset()
 DC = core.DataCentre('dc1')
 OTHER_DC = core.DataCentre('dc2')
 
@@ -84,7 +85,7 @@
 
     All of them take their replicas from these two functions.
     """
-    deps = requests.make_request_dependencies(ctx)
+    deps = requests.make_request_dependencies(ctx, None)
     for replica in (A, B):
         load = core.ReplicaLoad(0.01, 1.0, -100.0)  # slow, due for a trial
         ctx.loads[replica.replica_id] = load
@@ -92,26 +93,26 @@
     notices.receive_notice(ctx, A, notice)
     notices.receive_notice(ctx, A, notice)
     assert _list_ids(ctx) == ['b']
-    assert deps.choose(SERVICE, ())[0] == B
-    assert deps.choose(SERVICE, {'b'}) is None
-    assert deps.choose_trial(SERVICE, {'b'}) is None
-    assert deps.list_usable(SERVICE) == (B,)
+    assert deps.choose(SERVICE, (), ANYWHERE)[0] == B
+    assert deps.choose(SERVICE, {'b'}, ANYWHERE) is None
+    assert deps.choose_trial(SERVICE, {'b'}, ANYWHERE) is None
+    assert deps.list_usable(SERVICE, ANYWHERE) == (B,)
     rows = (core.Departure(A.replica_id, A.epoch),)
     assert sorted(ctx.sent) == [('n2', rows), ('n3', rows)]
 
 
 def test_paused_replica_is_out_of_every_choice_but_known(ctx):
     """Guards a replica that asked this node, and no other, for a pause."""
-    deps = requests.make_request_dependencies(ctx)
+    deps = requests.make_request_dependencies(ctx, None)
     ctx.loads[A.replica_id] = core.ReplicaLoad(0.01, 1.0, -100.0)
     notices.receive_notice(ctx, A, core.ReplicaNotice(pause=9.0))
     assert _list_ids(ctx) == ['b']
-    assert deps.choose(SERVICE, {'b'}) is None
-    assert deps.choose_trial(SERVICE, {'b'}) is None
-    assert deps.list_usable(SERVICE) == (A, B)
-    assert deps.find_pause(SERVICE) == 0.0
+    assert deps.choose(SERVICE, {'b'}, ANYWHERE) is None
+    assert deps.choose_trial(SERVICE, {'b'}, ANYWHERE) is None
+    assert deps.list_usable(SERVICE, ANYWHERE) == (A, B)
+    assert deps.find_pause(SERVICE, ANYWHERE) == 0.0
     notices.receive_notice(ctx, B, core.ReplicaNotice(pause=3.0))
-    assert 2.9 < deps.find_pause(SERVICE) < 3.4
+    assert 2.9 < deps.find_pause(SERVICE, ANYWHERE) < 3.4
     assert not ctx.sent
 
 
--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -1,6 +1,7 @@
 """Wires request handling in a front node to the replicas."""
 
 from collections import abc
+import functools
 import time
 
 from citronweir import core
@@ -12,6 +13,7 @@
 from citronweir.programs import _front_crash_reports as crash_reports
 from citronweir.programs import _front_nodes as nodes
 from citronweir.programs import _front_notices as notices
+from citronweir.programs import _front_tenants as tenants
 
 # Relative random spread of the latency estimates. Without it, all nodes would
 # choose the same one of two replicas with similar estimates.
@@ -39,6 +41,8 @@
         core.NotRunReason.QUEUE_FULL,
         core.NotRunReason.LEAVING,
         core.NotRunReason.PAUSED,
+        core.NotRunReason.KEY_WITHDRAWN,
+        core.NotRunReason.UNCONFIRMED,
     }
 )
 # Reasons that are not failures of the replica; they are logged elsewhere.
@@ -47,34 +51,35 @@
         core.NotRunReason.CANCELLED,
         core.NotRunReason.LEAVING,
         core.NotRunReason.PAUSED,
+        core.NotRunReason.KEY_WITHDRAWN,
+        core.NotRunReason.UNCONFIRMED,
         core.UnknownReason.ABANDONED,
     }
 )
 
 
 def make_request_dependencies(
-    ctx: contexts.FrontContext,
+    ctx: contexts.FrontContext, quota_deps: service.QuotaDependencies
 ) -> service.RequestDependencies:
     """Builds the dependencies of request handling."""
-    directory = ctx.catalogue.directory
 
-    def choose(name, tried):
+    def choose(name, tried, homes):
         return core.choose_listed_replica(
             ctx.loads,
             ctx.locality,
-            notices.list_available(ctx, name),
+            notices.list_available(ctx, name, homes),
             tried,
             time.monotonic(),
             lambda: 1.0 + LATENCY_JITTER * ctx.rng.random(),
         )
 
-    def choose_trial(name, tried):
-        available = notices.list_available(ctx, name)
+    def choose_trial(name, tried, homes):
+        available = notices.list_available(ctx, name, homes)
         return core.choose_trial(ctx.loads, available, tried, time.monotonic())
 
-    def list_excluded(node, name, request_id, max_attempts):
+    def list_excluded(node, name, homes, request_id, max_attempts):
         return core.list_excluded(
-            core.list_usable(directory, name),
+            notices.list_usable(ctx, name, homes),
             ctx.locality.regions,
             node.dc,
             request_id,
@@ -84,8 +89,20 @@
     return service.RequestDependencies(
         now=time.monotonic,
         find_index=lambda: ctx.catalogue.index,
-        list_usable=lambda name: core.list_usable(directory, name),
-        find_pause=lambda name: notices.find_pause(ctx, name),
+        identify=lambda index, route, req: tenants.identify_request(
+            ctx, index, route, req
+        ),
+        find_key_refusal=lambda identity: tenants.find_key_refusal(
+            ctx, identity
+        ),
+        admit_tenant=lambda name: service.admit_tenant(
+            quota_deps, ctx.quotas, name
+        ),
+        return_token=lambda name: service.report_tokens(
+            quota_deps, ctx.quotas, name, -1.0
+        ),
+        list_usable=lambda name, homes: notices.list_usable(ctx, name, homes),
+        find_pause=lambda name, homes: notices.find_pause(ctx, name, homes),
         choose=choose,
         choose_trial=choose_trial,
         send=_make_send(ctx),
@@ -235,6 +252,10 @@
             route.repeat is core.Idempotency.NON_IDEMPOTENT,
             on_crash,
         )
+        if req.identity is not None:
+            exchange.find_refusal = functools.partial(
+                tenants.find_key_refusal, ctx, req.identity
+            )
         upstreams.submit(
             ctx.channels, replica, conn_limit(ctx, replica.service), exchange
         )
@@ -306,6 +327,9 @@
     outcome = event.name.partition('_')[2].lower()
     telemetry.count(counters, f'{kind}s', rank=rank, outcome=outcome)
     telemetry.observe(counters, f'{kind}_seconds', report.seconds, rank=rank)
+    if isinstance(report.outcome, core.Declined):
+        reason = report.outcome.reason.value
+        telemetry.count(counters, f'{kind}s_not_run', reason=reason)
     if report.services:
         missing = report.services - report.parts
         telemetry.count(counters, 'services_asked', report.services, rank=rank)
@@ -327,6 +351,8 @@
             return telemetry.Event.REQUEST_FAILED
         case core.NoRoute():
             return telemetry.Event.REQUEST_UNROUTED
+        case core.Unauthorised():
+            return telemetry.Event.REQUEST_UNAUTHORISED
     is_partial = report.parts < report.services
     if is_partial or report.seconds > report.route.target:
         return telemetry.Event.REQUEST_LATE
@@ -348,6 +374,7 @@
         'attempts': route.max_attempts if route else 0,
         'repeat': route.repeat.value if route else '',
         'reason': reason.value if reason else '',
+        'tenant': report.tenant,
         'parts': report.parts,
         'services': report.services,
         'hedges': report.hedges,
--- a/citronweir/programs/_front_requests_test.py
+++ b/citronweir/programs/_front_requests_test.py
@@ -85,7 +85,7 @@
     ctx.locality = core.Locality(replica.dc, {replica.dc: 'north'})
     ctx.rng, ctx.last_request_number = random.Random(1), 0
     ctx.own, ctx.windows, ctx.group_windows = None, {}, {}
-    deps = requests.make_request_dependencies(ctx)
+    deps = requests.make_request_dependencies(ctx, None)
     req = core.HttpRequest(
         core.RequestId('id'), 'GET', 'a.example', '/a/', (), b'', 9.0
     )
--- a/citronweir/programs/_front_store.py
+++ b/citronweir/programs/_front_store.py
@@ -44,15 +44,25 @@
         _record_reply(ctx, reply)
         if isinstance(reply, platform.StoreCallError):
             return core.StoreError(f'{reply.fault.value}: {reply.detail}')
-        return _add_removals(_make_batch(reply), ctx.config.state)
+        batch, state = _make_batch(reply), ctx.config.state
+        if _is_other_era(state, batch.complete_to):
+            batch = core.carry_over(state.records, _decode_batch(batch))
+        return _add_removals(batch, state)
 
     def on_change(new_records):
+        _adopt_era(ctx)
         service.apply_records(
             ctx.catalogue, ctx.config.state, new_records, time.monotonic()
         )
         convictions.apply_records(ctx, new_records)
-        if any(isinstance(item.body, core.RouteTable) for item in new_records):
+        versions = [
+            item.body.version
+            for item in new_records
+            if isinstance(item.body, core.RouteTable)
+        ]
+        if versions:
             on_routes_changed()
+            _restore_config(ctx, min(versions))
 
     def is_watcher():
         age = service.config_age(deps, ctx.config)
@@ -79,6 +89,64 @@
     return deps
 
 
+def _is_other_era(state, revision):
+    known = state.complete_to
+    return bool(known) and core.find_era(revision) != core.find_era(known)
+
+
+def _decode_batch(batch):
+    records = tuple(
+        platform.decode_record(record)[0] for record in batch.records
+    )
+    return dataclasses.replace(batch, records=records)
+
+
+def _adopt_era(ctx):
+    """Drops what a former era of the store gave to this node.
+
+    Leases are gone, and their numbers are given out again. Replicas and
+    operators write what was lost again, as after an outage.
+    """
+    era = core.find_era(ctx.config.state.newest_revision)
+    if era <= ctx.store_era:
+        return
+    is_start, ctx.store_era = not ctx.config.ready, era
+    if is_start:
+        return
+    core.mark_registry_restored(ctx.catalogue.directory, time.monotonic())
+    ctx.registration.lease = None
+    ctx.convictions.stored.clear()
+    telemetry.log(telemetry.Event.STORE_REWOUND, era=era)
+
+
+def _restore_config(ctx, version):
+    """Writes the configuration in force again if the store lost it.
+
+    Nodes that start now would otherwise use the older one. Only the nodes
+    that watch the store for all others write.
+    """
+    known = ctx.catalogue.routes_record
+    is_lost = ctx.store_era and version < known.body.version
+    watchers = core.list_watchers(ctx.catalogue.nodes, ctx.own.node_id)
+    if not is_lost or ctx.own.node_id not in watchers:
+        return
+    copy = ctx.config.state.records.get(platform.config_copy_key())
+    revision = copy.revision if copy and copy.value else core.NO_REVISION
+
+    async def write():
+        error = await platform.write_config_copy(
+            ctx.session, ctx.boot.store, known.value, revision
+        )
+        outcome = 'ok' if error is None else error.fault.value
+        telemetry.log(
+            telemetry.Event.CONFIG_RESTORED,
+            version=known.body.version,
+            outcome=outcome,
+        )
+
+    ctx.config_write = asyncio.create_task(write())
+
+
 async def _reject_call(*args):
     """Rejects a call: nodes only watch the store, operators write to it."""
     return core.StoreError('read-only')
@@ -88,7 +156,7 @@
     """Yields changes after a revision until they are compacted or lost."""
     failures = 0
     while True:
-        sent_at = time.monotonic()
+        sent_at = service.read_boot_clock()
         reply = await platform.wait_changes(
             ctx.session, ctx.boot.store, position, WATCH_TIMEOUT
         )
@@ -101,7 +169,8 @@
                 yield core.StoreError('the store omitted changes')
                 return
             position = max(position, reply.revision)
-            age = _compute_max_age(reply, time.monotonic() - sent_at)
+            elapsed = service.read_boot_clock() - sent_at
+            age = _compute_max_age(reply, elapsed)
             yield dataclasses.replace(_make_batch(reply), age=age)
             if reply.items:
                 await asyncio.sleep(BATCH_DELAY)
@@ -123,7 +192,9 @@
     delayed must not count as new, since it confirms the configuration of all
     nodes.
     """
-    return elapsed if reply.items else max(0.0, elapsed - WATCH_TIMEOUT)
+    if reply.items or elapsed < WATCH_TIMEOUT:
+        return elapsed
+    return elapsed - WATCH_TIMEOUT
 
 
 def _make_batch(reply):
--- a/citronweir/programs/_front_store_test.py
+++ b/citronweir/programs/_front_store_test.py
@@ -50,9 +50,7 @@
         return platform.Changes(items, core.Revision(2 if items else 1))
 
     monkeypatch.setattr(platform, 'wait_changes', wait_changes)
-    monkeypatch.setattr(
-        front_store, 'time', types.SimpleNamespace(monotonic=lambda: now)
-    )
+    monkeypatch.setattr(service, 'read_boot_clock', lambda: now)
     batches = front_store._watch(_make_context(), core.Revision(1))
     batch = await anext(batches)
     await batches.aclose()
--- a/citronweir/service/__init__.py
+++ b/citronweir/service/__init__.py
@@ -9,6 +9,7 @@
 from citronweir.service._catalogue import apply_records
 from citronweir.service._catalogue import Catalogue
 from citronweir.service._changes import run_change
+from citronweir.service._clocks import read_boot_clock
 from citronweir.service._config import answer_sync
 from citronweir.service._config import AskPeer
 from citronweir.service._config import compact_config
@@ -42,6 +43,14 @@
 from citronweir.service._probes import probe_owned
 from citronweir.service._probes import ProbeDependencies
 from citronweir.service._probes import Probes
+from citronweir.service._quotas import admit_tenant
+from citronweir.service._quotas import expire_quotas
+from citronweir.service._quotas import MAX_KEEPERS
+from citronweir.service._quotas import QuotaDependencies
+from citronweir.service._quotas import Quotas
+from citronweir.service._quotas import receive_limited
+from citronweir.service._quotas import report_tokens
+from citronweir.service._quotas import spend_tokens
 from citronweir.service._registration import Registration
 from citronweir.service._registration import RegistryDependencies
 from citronweir.service._registration import run_registration
--- a/citronweir/service/_attempts.py
+++ b/citronweir/service/_attempts.py
@@ -35,6 +35,12 @@
     }
 )
 
+# Reasons that hold for every replica, so that no further attempt is made.
+_FORBIDDEN = frozenset(
+    {core.NotRunReason.KEY_WITHDRAWN, core.NotRunReason.UNCONFIRMED}
+)
+
+Homes = frozenset[core.Region]
 LatencyWindows = dict[
     tuple[core.RouteName, core.DataCentre], core.LatencyWindow
 ]
@@ -48,11 +54,20 @@
         now: Returns the monotonic time, seconds.
         find_index: Returns the active routes, or None before a configuration
             has been received.
-        list_usable: Lists the replicas of a service that accept new requests.
-        find_pause: Returns the seconds until a replica of a service accepts
-            requests, 0 if one does now.
-        choose: Chooses a replica of a service that was not tried yet, and
-            returns it with its expected latency in seconds.
+        identify: Replaces what a request states about its caller by the
+            tenant, or returns why it must not run.
+        find_key_refusal: Returns why requests of an identity must not be
+            sent now, or None.
+        admit_tenant: Takes a token of a tenant's quota; returns the refusal
+            if there is none.
+        return_token: Gives back the token of a request that has not run.
+        list_usable: Lists the replicas of a service in the given home
+            regions that accept new requests.
+        find_pause: Returns the seconds until a replica of a service in the
+            given home regions accepts requests, 0 if one does now.
+        choose: Chooses a replica of a service in the given home regions that
+            was not tried yet, and returns it with its expected latency in
+            seconds.
         choose_trial: Finds a replica of a service that was slow or failing
             and is due for a trial request.
         send: Sends a request to a replica and returns a handle. The last
@@ -70,7 +85,8 @@
         ask_group: Asks another node for a group of shards.
         list_excluded: Lists the replicas of a service that must not be used
             for a request that a node queries for another one, given that
-            node, the service, the request and its maximum attempts.
+            node, the service, its home regions, the request and its maximum
+            attempts.
         own: This node.
         find_stop: Returns the monotonic second at which this node ends its
             requests because it is stopping, infinity otherwise.
@@ -85,16 +101,25 @@
 
     now: abc.Callable[[], float]
     find_index: abc.Callable[[], core.RouteIndex | None]
+    identify: abc.Callable[
+        [core.RouteIndex, core.Route, core.HttpRequest],
+        core.HttpRequest | core.Unauthorised | core.Declined,
+    ]
+    find_key_refusal: abc.Callable[[core.Identity], core.NotRunReason | None]
+    admit_tenant: abc.Callable[
+        [core.TenantName], abc.Awaitable[core.Declined | None]
+    ]
+    return_token: abc.Callable[[core.TenantName], None]
     list_usable: abc.Callable[
-        [core.ServiceName], tuple[core.ListedReplica, ...]
+        [core.ServiceName, Homes], tuple[core.ListedReplica, ...]
     ]
-    find_pause: abc.Callable[[core.ServiceName], float]
+    find_pause: abc.Callable[[core.ServiceName, Homes], float]
     choose: abc.Callable[
-        [core.ServiceName, abc.Container[core.ReplicaId]],
+        [core.ServiceName, abc.Container[core.ReplicaId], Homes],
         tuple[core.ListedReplica, float] | None,
     ]
     choose_trial: abc.Callable[
-        [core.ServiceName, abc.Container[core.ReplicaId]],
+        [core.ServiceName, abc.Container[core.ReplicaId], Homes],
         core.ListedReplica | None,
     ]
     send: abc.Callable[..., object]
@@ -113,7 +138,7 @@
         [core.ListedNode, core.GroupQuery], abc.Awaitable[core.GroupAnswer]
     ]
     list_excluded: abc.Callable[
-        [core.ListedNode, core.ServiceName, core.RequestId, int],
+        [core.ListedNode, core.ServiceName, Homes, core.RequestId, int],
         frozenset[core.ReplicaId],
     ]
     own: core.ListedNode
@@ -137,6 +162,7 @@
         hedges: Attempts sent while the first was still in flight.
         retries: Attempts sent after another one had failed.
         groups: Groups of shards that other nodes were asked for.
+        tenant: Tenant of the request, empty if it has none.
         is_group: Whether the request is a group query of another node.
     """
 
@@ -149,6 +175,7 @@
     hedges: int = 0
     retries: int = 0
     groups: int = 0
+    tenant: str = ''
     is_group: bool = False
 
 
@@ -285,6 +312,7 @@
         call.tried |= request.deps.list_excluded(
             group.owner,
             call.service,
+            request.route.homes,
             request.req.request_id,
             request.route.max_attempts,
         )
@@ -309,7 +337,7 @@
         return
     if call.replicas_reached >= request.route.max_attempts:
         return
-    chosen = request.deps.choose(call.service, call.tried)
+    chosen = _choose(request, call)
     if chosen is None or chosen[1] >= core.AVOID_PENALTY:
         return
     if not _is_in_time(request, chosen[1]):
@@ -385,7 +413,9 @@
         return
     if call.replicas_reached >= request.route.max_attempts:
         return
-    trial = request.deps.choose_trial(call.service, call.tried)
+    trial = request.deps.choose_trial(
+        call.service, call.tried, request.route.homes
+    )
     kind = core.AttemptKind.HEDGE
     if trial is not None and request.deps.take_extra(call.service, kind):
         call.is_hedged = True
@@ -400,7 +430,7 @@
     chosen = None
     is_allowed = call.replicas_reached < request.route.max_attempts
     if is_allowed and not serial_attempts.is_exhausted(request.serial):
-        chosen = request.deps.choose(call.service, call.tried)
+        chosen = _choose(request, call)
     if chosen is None:
         _end_if_idle(request, group, call)
         return
@@ -413,6 +443,10 @@
     _send(request, group, call, chosen, kind)
 
 
+def _choose(request, call):
+    return request.deps.choose(call.service, call.tried, request.route.homes)
+
+
 def _is_in_time(request, expected):
     """Returns whether a reply is expected before the deadline.
 
@@ -491,6 +525,9 @@
             call.reason = reason
             if reason is not core.NotRunReason.SHED:
                 call.replicas_reached -= 1  # the replica did not receive it
+            if reason in _FORBIDDEN:
+                _end_if_idle(request, group, call)
+                return
             if reason in _NEVER_SENT and not call.in_flight:
                 _send_next(request, group, call, core.AttemptKind.FIRST)
                 return
--- a/citronweir/service/_catalogue.py
+++ b/citronweir/service/_catalogue.py
@@ -12,12 +12,14 @@
 
     Attributes:
         index: Routes in force, or None before the first configuration.
+        routes_record: Record of the routes in force.
         directory: Listed replicas.
         keys: Replica that each record key lists.
         nodes: Listed nodes.
     """
 
     index: core.RouteIndex | None = None
+    routes_record: core.ConfigRecord | None = None
     directory: core.Directory = dataclasses.field(
         default_factory=core.Directory
     )
@@ -55,6 +57,23 @@
     core.mark_missing(catalogue.nodes, _collect_present_keys(state), now)
     for key in catalogue.keys.keys() - state.records.keys():
         _remove_replica(catalogue, key, 'gone from the listing', now)
+    _update_evacuations(catalogue, state)
+
+
+def _update_evacuations(catalogue, state):
+    evacuated = frozenset(
+        record.body.dc
+        for record in state.records.values()
+        if isinstance(record.body, core.Evacuation) and record.value
+    )
+    if evacuated == catalogue.directory.evacuated:
+        return
+    for dc in core.set_evacuated(catalogue.directory, evacuated):
+        is_started = dc in evacuated
+        event = telemetry.Event.EVACUATION_ENDED
+        if is_started:
+            event = telemetry.Event.EVACUATION_STARTED
+        telemetry.log(event, dc=dc, revision=state.complete_to)
 
 
 def _collect_present_keys(state):
@@ -62,7 +81,18 @@
 
 
 def _activate_routes(catalogue, record):
+    known = catalogue.index
+    if known is not None and record.body.version < known.table.version:
+        # The store lost its latest changes; the operator writes them again.
+        telemetry.log(
+            telemetry.Event.ROUTES_OUTDATED,
+            version=record.body.version,
+            current=known.table.version,
+            revision=record.revision,
+        )
+        return
     catalogue.index = core.index_routes(record.body)
+    catalogue.routes_record = record
     telemetry.log(
         telemetry.Event.ROUTES_IN_FORCE,
         version=record.body.version,
--- a/citronweir/service/_config.py
+++ b/citronweir/service/_config.py
@@ -15,6 +15,7 @@
 
 from citronweir import core
 from citronweir import telemetry
+from citronweir.service import _clocks as clocks
 
 # Attempts to load from peers before a starting node reads the store, so that
 # a start of many nodes does not overload the store.
@@ -63,17 +64,15 @@
     Attributes:
         ready: Whether a whole configuration was fetched since the start.
         is_resumable: Whether a watch may resume from ``complete_to``.
-        confirmed_at: Monotonic time of the last confirmation, seconds.
-        confirmed_wall: Wall-clock time of the last confirmation, seconds
-            since the epoch. Unlike the monotonic clock, it advances while
-            the VM is suspended.
+        confirmed_boot: Boot-clock second of the last confirmation. Unlike the
+            monotonic clock, the boot clock advances while the VM is
+            suspended, and unlike the time of day it doesn't step.
     """
 
     state: core.ConfigState = core.ConfigState()
     ready: bool = False
     is_resumable: bool = False
-    confirmed_at: float = -math.inf
-    confirmed_wall: float = -math.inf
+    confirmed_boot: float = -math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,6 +82,7 @@
     Attributes:
         now: Returns the monotonic time, seconds.
         wall_now: Returns the wall-clock time, seconds since the epoch.
+        boot_now: Returns the boot-clock time, seconds.
         sleep: Waits for a number of seconds.
         rng: Source of the jitter.
         decode: Parses a record's value; returns the record and its errors.
@@ -140,15 +140,12 @@
     on_change: abc.Callable[[tuple[core.ConfigRecord, ...]], None] = (
         _do_nothing
     )
+    boot_now: abc.Callable[[], float] = clocks.read_boot_clock
 
 
 def config_age(deps: ConfigDependencies, config: Configuration) -> float:
     """Returns the seconds since any node confirmed the configuration."""
-    return max(
-        deps.now() - config.confirmed_at,
-        deps.wall_now() - config.confirmed_wall,
-        0.0,
-    )
+    return max(0.0, deps.boot_now() - config.confirmed_boot)
 
 
 def receive_records(
@@ -189,14 +186,18 @@
 ) -> None:
     """Merges a batch that a watcher announced.
 
+    Its age on arrival is unknown: it may have waited in a buffer while this
+    node was frozen or cut off. Only a time on this node's own clock counts.
+
     Args:
         deps: Functions that the update calls.
         config: Configuration of this node.
-        batch: Batch of the watch; its age is the age of the confirmation.
+        batch: Batch of the watch, with the time of its confirmation.
     """
     receive_records(deps, config, batch, RecordSource.LOCAL_PEER)
-    if config.ready and 0 < batch.complete_to <= config.state.complete_to:
-        _confirm(config, deps.now() - batch.age, deps.wall_now() - batch.age)
+    is_complete = 0 < batch.complete_to <= config.state.complete_to
+    if config.ready and is_complete and batch.confirmed_boot < deps.boot_now():
+        _confirm(config, batch.confirmed_boot)
 
 
 def answer_sync(
@@ -268,14 +269,14 @@
     request_batch = deps.pick_peer()
     since = config.state.complete_to
     for _ in range(MAX_PAGES):
-        asked_at, asked_wall = deps.now(), deps.wall_now()
+        asked_at = deps.boot_now()
         batch = await request_batch(since) if request_batch else None
         if batch is None:
             return
         receive_records(deps, config, batch, RecordSource.SYNC)
         since = core.next_since(batch)
         if not batch.more:
-            _confirm(config, asked_at - batch.age, asked_wall - batch.age)
+            _confirm(config, asked_at - batch.age)
             return
 
 
@@ -332,8 +333,13 @@
             receive_records(deps, config, batch, RecordSource.STORE)
             # A batch without an age is assumed to be delivered at once.
             age = batch.age if math.isfinite(batch.age) else 0.0
-            _confirm(config, deps.now() - age, deps.wall_now() - age)
-            deps.announce(dataclasses.replace(batch, age=age))
+            confirmed_boot = deps.boot_now() - age
+            _confirm(config, confirmed_boot)
+            deps.announce(
+                dataclasses.replace(
+                    batch, age=age, confirmed_boot=confirmed_boot
+                )
+            )
             if not deps.is_watcher():
                 break
     return received
@@ -352,9 +358,8 @@
     return rng.uniform(0, min(MAX_BACKOFF, bound))
 
 
-def _confirm(config, now, wall_now):
-    config.confirmed_at = max(config.confirmed_at, now)
-    config.confirmed_wall = max(config.confirmed_wall, wall_now)
+def _confirm(config, boot_at):
+    config.confirmed_boot = max(config.confirmed_boot, boot_at)
 
 
 def _decode(deps, record):
@@ -367,7 +372,7 @@
 
 
 async def _load_from_store(deps, config, source=RecordSource.SYNC):
-    asked_at, asked_wall = deps.now(), deps.wall_now()
+    asked_at = deps.boot_now()
     batch = await deps.read_all()
     if isinstance(batch, core.StoreError):
         telemetry.log(
@@ -379,7 +384,7 @@
     batch = dataclasses.replace(batch, since=core.NO_REVISION, age=0.0)
     receive_records(deps, config, batch, source)
     _mark_ready(config, 'the store')
-    _confirm(config, asked_at, asked_wall)
+    _confirm(config, asked_at)
     config.is_resumable = True
     return True
 
@@ -391,7 +396,7 @@
     request_batch = deps.pick_peer()
     fetched, since = core.ConfigState(), core.NO_REVISION
     for _ in range(MAX_PAGES):
-        asked_at, asked_wall = deps.now(), deps.wall_now()
+        asked_at = deps.boot_now()
         batch = await request_batch(since) if request_batch else None
         if batch is None or config.ready and core.needs_full_fetch(batch.age):
             return False
@@ -405,7 +410,7 @@
     batch = core.ConfigBatch(records, fetched.complete_to, age=batch.age)
     receive_records(deps, config, batch, RecordSource.SYNC)
     _mark_ready(config, 'a peer')
-    _confirm(config, asked_at - batch.age, asked_wall - batch.age)
+    _confirm(config, asked_at - batch.age)
     return True
 
 
--- a/citronweir/service/_config_test.py
+++ b/citronweir/service/_config_test.py
@@ -69,6 +69,7 @@
         return configs.ConfigDependencies(
             now=lambda: self.world.time,
             wall_now=lambda: self.world.time + CLOCK_ERRORS[self.number],
+            boot_now=lambda: self.world.time,
             sleep=self.sleep,
             rng=random.Random(self.number),
             decode=metastore.decode_record,
@@ -432,7 +433,7 @@
     other = fleet.nodes[1]
     fleet.time += core.RETENTION
     other.config.state = core.ConfigState({}, core.Revision(7))
-    other.config.confirmed_at = other.config.confirmed_wall = fleet.time
+    other.config.confirmed_boot = fleet.time
     fleet.sync(0, 1)
     assert key not in node.config.state.records
 
--- a/citronweir/service/_requests.py
+++ b/citronweir/service/_requests.py
@@ -50,6 +50,11 @@
     route = core.find_route(index, req.host, req.target)
     if route is None:
         return _report(deps, req, None, core.NoRoute(), started)
+    identified = deps.identify(index, route, req)
+    if not isinstance(identified, core.HttpRequest):
+        return _report(deps, req, route, identified, started)
+    req = identified
+    route = core.apply_tenant(index, route, req.identity)
     suspect_status = deps.find_suspect_status(req)
     outcome = _refuse_convicted(suspect_status, started)
     if outcome is not None:
@@ -61,6 +66,8 @@
     if started + STOP_TARGET_FACTOR * route.target > stop_at:
         stopping = core.NotRunReason.STOPPING
         outcome = core.Declined(stopping, RETRY_AFTER_STOP)
+    if outcome is None and req.identity is not None:
+        outcome = await deps.admit_tenant(req.identity.tenant)
     if outcome is not None:
         return _report(deps, req, route, outcome, started)
     request = attempts.Request(
@@ -77,6 +84,8 @@
         serial=serial_attempts.make_serial_state(suspect_status),
     )
     outcome = await _run(request, suspect_status)
+    if req.identity is not None and _has_not_run(outcome):
+        deps.return_token(req.identity.tenant)
     return _report(deps, req, route, outcome, started, request)
 
 
@@ -102,6 +111,12 @@
     if full_route is None:
         reason = core.NotRunReason.NO_CONFIGURATION
         return core.GroupAnswer(core.Declined(reason, 0.0), 0.0)
+    identity = query.req.identity
+    if identity is not None:
+        refusal = deps.find_key_refusal(identity)
+        if refusal is not None:
+            return core.GroupAnswer(core.Declined(refusal, 0.0), 0.0)
+        full_route = core.apply_tenant(index, full_route, identity)
     suspect_status = deps.find_suspect_status(query.req)
     outcome = _refuse_convicted(suspect_status, started)
     if outcome is not None:
@@ -135,6 +150,8 @@
         for position, call in enumerate(request.groups[0].calls)
         if call.reply is None
     )
+    if isinstance(outcome, core.Unauthorised):
+        outcome = core.Declined(core.NotRunReason.KEY_WITHDRAWN, 0.0)
     return core.GroupAnswer(outcome, deps.now() - started, missing_positions)
 
 
@@ -162,6 +179,10 @@
     return core.Declined(core.NotRunReason.QUARANTINED, left)
 
 
+def _has_not_run(outcome):
+    return isinstance(outcome, core.Declined | core.Unauthorised)
+
+
 def _find_group_route(index, query):
     if index is None or index.table.version != query.version:
         return None
@@ -198,10 +219,10 @@
         return core.Declined(reason, RETRY_AFTER_NO_REPLICA)
     # Replicas pause for a single node, so those of other nodes' groups count.
     pauses = sorted(
-        0.0 if group.owners else deps.find_pause(service)
+        0.0 if group.owners else deps.find_pause(service, route.homes)
         for group in service_groups
         for service in group.services
-        if deps.list_usable(service)
+        if deps.list_usable(service, route.homes)
     )
     needed = core.min_parts(route) if route.shards else 1
     if len(pauses) < needed:
@@ -376,13 +397,15 @@
         return _make_failure(request, calls)
     reasons = [call.reason for call in calls if call.reason is not None]
     reason = reasons[0] if reasons else core.NotRunReason.OVERLOADED
+    if reason is core.NotRunReason.KEY_WITHDRAWN:
+        return core.Unauthorised()
     return core.Declined(reason, _find_retry_delay(request, calls))
 
 
 def _find_retry_delay(request, calls):
     """Returns the seconds until enough failed calls can be repeated."""
     pauses = sorted(
-        request.deps.find_pause(call.service)
+        request.deps.find_pause(call.service, request.route.homes)
         for call in calls
         if call.reply is None
     )
@@ -424,7 +447,12 @@
 def _report(deps, req, route, outcome, started, request=None, is_group=False):
     seconds = deps.now() - started
     report = attempts.RequestReport(
-        req.request_id, route, outcome, seconds, is_group=is_group
+        req.request_id,
+        route,
+        outcome,
+        seconds,
+        tenant='' if req.identity is None else req.identity.tenant,
+        is_group=is_group,
     )
     if request is not None:
         report = dataclasses.replace(
--- a/citronweir/service/_requests_test.py
+++ b/citronweir/service/_requests_test.py
@@ -167,10 +167,14 @@
     return service.RequestDependencies(
         now=loop.time,
         find_index=lambda: index,
-        list_usable=list_usable,
-        find_pause=lambda name: scenario.pauses.get(name, 0.0),
-        choose=choose,
-        choose_trial=lambda name, tried: None,
+        identify=lambda index, route, req: req,
+        find_key_refusal=lambda identity: None,
+        admit_tenant=None,
+        return_token=lambda name: None,
+        list_usable=lambda name, homes: list_usable(name),
+        find_pause=lambda name, homes: scenario.pauses.get(name, 0.0),
+        choose=lambda name, tried, homes: choose(name, tried),
+        choose_trial=lambda name, tried, homes: None,
         send=send,
         abandon=scenario.abandoned.append,
         cancel_waiting=cancel_waiting,
@@ -180,8 +184,10 @@
         plan_groups=lambda route: scenario.groups,
         choose_owner=lambda owners: owners[0],
         ask_group=ask_group,
-        list_excluded=lambda node, name, request_id, limit: core.list_excluded(
-            list_usable(name), {}, node.dc, request_id, limit
+        list_excluded=lambda node, name, homes, request_id, limit: (
+            core.list_excluded(
+                list_usable(name), {}, node.dc, request_id, limit
+            )
         ),
         own=NODE,
         find_stop=lambda: scenario.stop_at,
--- a/citronweir/telemetry/_events.py
+++ b/citronweir/telemetry/_events.py
@@ -87,6 +87,13 @@
         '{version}',
         'Compare the path with the active configuration.',
     )
+    REQUEST_UNAUTHORISED = EventSpec(
+        1110,
+        'INFO',
+        'request {request} of route {route} has no valid API key in '
+        'configuration version {version}',
+        'Compare the time with the versions that added or removed keys.',
+    )
     GROUP_PARTIAL = EventSpec(
         1108,
         'INFO',
@@ -185,6 +192,34 @@
         '{detail}',
     )
 
+    TENANT_LIMITED = EventSpec(
+        1111,
+        'INFO',
+        'tenant {tenant} is near its quota; all nodes ask for a token before '
+        'each of its requests for {seconds} s',
+    )
+    EVACUATION_STARTED = EventSpec(
+        3017,
+        'INFO',
+        'replicas of data centre {dc} get no new requests from revision '
+        '{revision} on',
+    )
+    EVACUATION_ENDED = EventSpec(
+        3018,
+        'INFO',
+        'replicas of data centre {dc} get requests again from revision '
+        '{revision} on',
+    )
+
+    ROUTES_OUTDATED = EventSpec(
+        5011,
+        'WARNING',
+        'configuration version {version} at revision {revision} is older '
+        'than version {current} in force and was not applied',
+        'The store may have returned from a copy: write the configuration '
+        'again.',
+    )
+
     REQUESTS_MOVED = EventSpec(
         3013,
         'INFO',
@@ -244,6 +279,20 @@
         'Find the other writer of these keys; the order is answered Unknown.',
     )
 
+    STORE_REWOUND = EventSpec(
+        4009,
+        'WARNING',
+        'the store returned from an older copy, era {era}; leases and '
+        'records are written again',
+        'Check that the latest configuration and evacuations are in the '
+        'store again.',
+    )
+    CONFIG_RESTORED = EventSpec(
+        4010,
+        'INFO',
+        'configuration version {version}, which the store had lost, was '
+        'written to it again: {outcome}',
+    )
     STORE_LOST = EventSpec(
         4006,
         'WARNING',
--- a/citronweir/upstreams/_channels.py
+++ b/citronweir/upstreams/_channels.py
@@ -59,6 +59,10 @@
 }
 
 
+def _find_none():
+    return None
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Exchange:
     """One request to one replica.
@@ -73,6 +77,8 @@
         is_non_idempotent: Whether the request must not run twice.
         on_replica_ended: Called if the replica process ended while the
             request was in progress.
+        find_refusal: Returns why the request must not be sent at this
+            moment, or None. It is called right before the request is written.
         channel: Channel that it was submitted to.
         conn: Connection that carries the request, None until it is sent.
         entry: Entry in the queue of the channel, if it was ever queued.
@@ -90,6 +96,7 @@
     on_outcome: abc.Callable[[core.AttemptOutcome], None]
     is_non_idempotent: bool = False
     on_replica_ended: abc.Callable[[], None] | None = None
+    find_refusal: abc.Callable[[], core.NotRunReason | None] = _find_none
     channel: 'Channel | None' = None
     conn: exchanges.Connection | None = None
     entry: core.QueueEntry | None = None
@@ -476,6 +483,11 @@
 
 
 def _send(channels, channel, conn, exchange):
+    refusal = exchange.find_refusal()
+    if refusal is not None:
+        _finish(exchange, core.NotRun(refusal))
+        _assign_free(channels, channel, conn)
+        return
     exchange.conn = conn
     channel.busy.add(conn)
     remaining = exchange.deadline - channels.now()
--- a/fakes/front_fleet.py
+++ b/fakes/front_fleet.py
@@ -35,6 +35,7 @@
 internal_ports = [{port}, {port}]
 [zones]
 dc1 = "north"
+dc2 = "south"
 [listen]
 front = "{host}:{front}"
 readiness = "{host}:{ready}"
@@ -42,6 +43,7 @@
 grace_s = {grace}
 retry_ratio = 0.2
 retry_slack = 56
+{bounds}
 [platform]
 address = "127.0.0.1:{store}"
 '''
@@ -55,6 +57,7 @@
 
     Attributes:
         born: Wall-clock millisecond of its start.
+        dc: Data centre in its entry.
     """
 
     service: str
@@ -62,6 +65,7 @@
     server: asyncio.Server
     proxy: proxies.Proxy
     born: int = 1
+    dc: str = 'dc1'
 
 
 @dataclasses.dataclass(slots=True)
@@ -94,6 +98,7 @@
         bypasses_proxies: Whether nodes connect to the replicas directly.
             A proxy would accept connections for a crashed replica, whose
             own port refuses them.
+        bounds: Further lines of the bounds in the settings of the nodes.
     """
 
     store: stores.Store
@@ -101,6 +106,7 @@
     session: aiohttp.ClientSession
     folder: pathlib.Path
     bypasses_proxies: bool = False
+    bounds: str = ''
     replicas: dict[str, Replica] = dataclasses.field(default_factory=dict)
     nodes: dict[str, Node] = dataclasses.field(default_factory=dict)
 
@@ -120,7 +126,11 @@
 
 
 def put_config(
-    store: stores.Store, version: int, *routes: dict, max_conns: int = 26
+    store: stores.Store,
+    version: int,
+    *routes: dict,
+    max_conns: int = 26,
+    **fields: object,
 ) -> None:
     """Writes a configuration into the store.
 
@@ -129,6 +139,7 @@
         version: Version of the configuration.
         *routes: Routes in the form of ``make_route``.
         max_conns: Connections that each replica accepts.
+        **fields: Further fields of the configuration.
     """
     config = {
         'version': version,
@@ -137,7 +148,7 @@
             {'name': name, 'max_conns': max_conns} for name in SERVICES
         ],
         'limits': {'max_body_bytes': 1000, 'idle_timeout_ms': 15000},
-    }
+    } | fields
     stores.put(store, 'op/config', json.dumps(config).encode())
 
 
@@ -149,7 +160,7 @@
     entry = {
         'backend': replica.service,
         'address': f'127.0.0.1:{port}',
-        'zone': 'dc1',
+        'zone': replica.dc,
         'slots': 2,
         'state': state,
         'sequence': 1,
@@ -201,6 +212,7 @@
             ready=READINESS_PORT,
             store=proxy.port,
             grace=grace,
+            bounds=fleet.bounds,
         )
     )
     node = Node(
@@ -261,6 +273,7 @@
     request_id: str = 'id',
     session: aiohttp.ClientSession | None = None,
     deadline: int = 1000,
+    headers: abc.Mapping[str, str] | None = None,
     **fields,
 ) -> tuple[int, abc.Mapping[str, str], bytes]:
     """Sends a caller's request to a node.
@@ -273,6 +286,7 @@
         session: Client session with separate connections; the fleet's
             session if None.
         deadline: Milliseconds that the caller waits.
+        headers: Further headers of the request.
         **fields: Additional arguments of the client's ``request``.
 
     Returns:
@@ -283,7 +297,7 @@
         'Host': 'a.example',
         'X-Request-Id': request_id,
         'X-Deadline-Ms': str(deadline),
-    }
+    } | dict(headers or {})
     method = fields.pop('method', 'GET')
     async with (session or fleet.session).request(
         method, url, headers=headers, **fields
@@ -314,6 +328,7 @@
     grace: float = 2.0,
     replica_suffixes: str = 'ab',
     bypasses_proxies: bool = False,
+    bounds: str = '',
 ) -> abc.AsyncIterator[Fleet]:
     """Runs two services and some nodes, and waits until they are ready.
 
@@ -326,6 +341,7 @@
         replica_suffixes: One letter for each replica of a service, the
             last letter of its id.
         bypasses_proxies: Whether nodes connect to the replicas directly.
+        bounds: Further lines of the bounds in the settings.
 
     Yields:
         The running fleet.
@@ -333,7 +349,12 @@
     async with contextlib.AsyncExitStack() as exit_stack:
         session = await exit_stack.enter_async_context(aiohttp.ClientSession())
         fleet = Fleet(
-            stores.Store(), exit_stack, session, folder, bypasses_proxies
+            stores.Store(),
+            exit_stack,
+            session,
+            folder,
+            bypasses_proxies,
+            bounds,
         )
         for number, service in enumerate(SERVICES):
             for suffix in replica_suffixes:
--- a/fakes/platform_store.py
+++ b/fakes/platform_store.py
@@ -65,6 +65,8 @@
         leases: Time to live of each lease in milliseconds. Leases expire
             only through ``end_lease``.
         calls: Number of calls by path.
+        era: Number of times that the store returned from a copy; sent in all
+            responses unless 0.
         changed: Set at the next change, then replaced by a new event.
     """
 
@@ -89,9 +91,27 @@
         default_factory=lambda: itertools.count(7000)
     )
     calls: dict[str, int] = dataclasses.field(default_factory=dict)
+    era: int = 0
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
 
+def copy_state(store: Store) -> tuple[dict[str, Item], int, int]:
+    """Copies the items and the revision, for ``return_from_copy``."""
+    return dict(store.items), store.revision, len(store.history)
+
+
+def return_from_copy(
+    store: Store, copy: tuple[dict[str, Item], int, int]
+) -> None:
+    """Loses everything that was written since a copy, and all leases."""
+    items, store.revision, length = copy
+    store.items = {key: item for key, item in items.items() if not item.lease}
+    del store.history[length:]
+    store.leases.clear()
+    store.era += 1
+    _notify_watches(store)
+
+
 def put(store: Store, key: str, value: bytes, lease: int = 0) -> int:
     """Writes a key and returns the new revision."""
     store.revision += 1
@@ -168,9 +188,12 @@
     async def handle(request):
         store.calls[path] = store.calls.get(path, 0) + 1
         failure = await _apply_outage(store, request)
-        return (
-            await handle_call(store, request) if failure is None else failure
-        )
+        response = failure
+        if failure is None:
+            response = await handle_call(store, request)
+        if store.era:
+            response.headers['Store-Era'] = str(store.era)
+        return response
 
     return handle
 
