Grant a part of the tolerance beyond a quota, so that nothing below it is refused

The bounds of the platform allow more; the keeper grants half of that, a new keeper begins with a quarter.

--- a/citronweir/core/__init__.py
+++ b/citronweir/core/__init__.py
@@ -158,6 +158,7 @@
 from citronweir.core._quotas import is_notice_due
 from citronweir.core._quotas import LIMITED_PERIOD
 from citronweir.core._quotas import make_bucket
+from citronweir.core._quotas import QuotaBounds
 from citronweir.core._quotas import QuotaDecision
 from citronweir.core._quotas import SECOND_KEEPER_SHARE
 from citronweir.core._quotas import take_tokens
--- a/citronweir/core/_quotas.py
+++ b/citronweir/core/_quotas.py
@@ -20,9 +20,12 @@
 LIMITED_PERIOD = 2.0  # seconds
 # Notices about a tenant are repeated after this time.
 NOTICE_INTERVAL = 0.5  # seconds
-# Share of the slack beyond the quotas that a new keeper grants, since the
-# former one may have granted the whole burst.
-TAKEOVER_SLACK_SHARE = 0.5
+# Shares of the tolerance beyond a quota. A keeper grants one, so that nothing
+# below the quota is refused because a report is late or counted twice. A new
+# keeper begins with the other one, since the former may have granted all.
+# The rest covers what nodes admit before they learn that a tenant is limited.
+GRANTED_TOLERANCE_SHARE = 0.5
+TAKEOVER_TOLERANCE_SHARE = 0.25
 # Share of the rate at a keeper that isn't the first in order, which the first
 # may still grant to other nodes. It is multiplied by the share of the data
 # centres that use this keeper, so that a lost region adds 10%.
@@ -51,6 +54,21 @@
     limited_for: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaBounds:
+    """How far requests that run may exceed the quota of a tenant.
+
+    Attributes:
+        window: Seconds in which the requests are counted.
+        excess: Share of the quota of a window that may run beyond it.
+        slack: Requests that may run beyond that.
+    """
+
+    window: float = 1.0
+    excess: float = 0.0
+    slack: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class TokenBucket:
     """Tokens of one tenant at its keeper.
@@ -69,20 +87,25 @@
     notified_at: float = -math.inf
 
 
-def make_bucket(tenant: data.Tenant, slack: float, now: float) -> TokenBucket:
+def make_bucket(
+    tenant: data.Tenant, bounds: QuotaBounds, share: float, now: float
+) -> TokenBucket:
     """Creates the bucket of a tenant at a node that begins to keep it.
 
     Args:
         tenant: The tenant.
-        slack: Requests of a tenant that may run beyond its quota.
+        bounds: How far the quota may be exceeded.
+        share: Share of the quota that this node grants.
         now: Monotonic clock, seconds.
     """
-    return TokenBucket(min(tenant.burst, TAKEOVER_SLACK_SHARE * slack), now)
+    tolerance = _find_tolerance(tenant, bounds)
+    return TokenBucket(share * TAKEOVER_TOLERANCE_SHARE * tolerance, now)
 
 
 def take_tokens(
     bucket: TokenBucket,
     tenant: data.Tenant,
+    bounds: QuotaBounds,
     count: float,
     is_asking: bool,
     share: float,
@@ -93,14 +116,18 @@
     Args:
         bucket: Bucket of the tenant.
         tenant: The tenant with its limits in force.
+        bounds: How far the quota may be exceeded.
         count: Number of tokens; negative to give some back.
         is_asking: Whether the request has not run yet. It is then refused if
             there is no token. Other tokens are taken in any case.
-        share: Share of the rate that this node grants.
+        share: Share of the quota that this node grants.
         now: Monotonic clock, seconds.
     """
     rate = tenant.rate * share
-    capacity = max(1.0, tenant.burst)
+    tolerance = _find_tolerance(tenant, bounds)
+    capacity = max(
+        1.0, share * (tenant.burst + GRANTED_TOLERANCE_SHARE * tolerance)
+    )
     elapsed = max(0.0, now - bucket.filled_at)
     bucket.filled_at = now
     bucket.level = min(capacity, bucket.level + elapsed * rate)
@@ -127,6 +154,11 @@
     return True
 
 
+def _find_tolerance(tenant, bounds):
+    quota = tenant.rate * bounds.window + tenant.burst
+    return bounds.excess * quota + bounds.slack
+
+
 def _promise_wait(bucket, rate, count, now):
     """Returns the wait for the next token that nobody was told to wait for.
 
--- a/citronweir/platform/_boot.py
+++ b/citronweir/platform/_boot.py
@@ -43,8 +43,7 @@
         extra_attempt_window: Length of the window, seconds.
         max_key_age: Age, in seconds, from which the list of API keys must
             not be used; infinity if withdrawn keys may be used for longer.
-        quota_slack: Requests of a tenant that may run beyond its quota
-            before the platform objects.
+        quota_bounds: How far the quotas of tenants may be exceeded.
     """
 
     node_id: core.NodeId
@@ -60,7 +59,7 @@
     extra_attempt_slack: float
     extra_attempt_window: float
     max_key_age: float = math.inf
-    quota_slack: float = 0.0
+    quota_bounds: core.QuotaBounds = core.QuotaBounds()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,7 +131,11 @@
             bounds, 'retry_window_s', 10.0
         ),
         max_key_age=_decode_max_key_age(bounds),
-        quota_slack=_parse_nonnegative(bounds, 'quota_slack', 0.0),
+        quota_bounds=core.QuotaBounds(
+            _parse_nonnegative(bounds, 'quota_window_s', 1.0),
+            _parse_nonnegative(bounds, 'quota_excess', 0.0),
+            _parse_nonnegative(bounds, 'quota_slack', 0.0),
+        ),
     )
 
 
--- a/citronweir/programs/_front_tenants.py
+++ b/citronweir/programs/_front_tenants.py
@@ -78,7 +78,7 @@
         is_confirmed=lambda: _is_recently_confirmed(ctx),
         spend=spend,
         notify=notify,
-        slack=ctx.boot.quota_slack,
+        bounds=ctx.boot.quota_bounds,
     )
 
 
--- a/citronweir/service/_quotas.py
+++ b/citronweir/service/_quotas.py
@@ -46,7 +46,7 @@
         spend: Takes tokens at another node; None if it didn't answer.
         notify: Tells all nodes that a tenant is near its limit, given the
             seconds for which this holds.
-        slack: Requests of a tenant that may run beyond its quota.
+        bounds: How far the quotas may be exceeded.
     """
 
     now: abc.Callable[[], float]
@@ -64,7 +64,7 @@
         abc.Awaitable[core.QuotaDecision | None],
     ]
     notify: abc.Callable[[core.TenantName, float], None]
-    slack: float
+    bounds: core.QuotaBounds
 
 
 @dataclasses.dataclass(slots=True)
@@ -186,9 +186,11 @@
         share = core.SECOND_KEEPER_SHARE * heard / max(1, deps.count_dcs())
     bucket = quotas.buckets.get(name)
     if bucket is None:
-        bucket = core.make_bucket(tenant, share * deps.slack, now)
+        bucket = core.make_bucket(tenant, deps.bounds, share, now)
         quotas.buckets[name] = bucket
-    decision = core.take_tokens(bucket, tenant, count, is_asking, share, now)
+    decision = core.take_tokens(
+        bucket, tenant, deps.bounds, count, is_asking, share, now
+    )
     if core.is_notice_due(bucket, decision, now):
         receive_limited(deps, quotas, name, decision.limited_for)
         deps.notify(name, decision.limited_for)
@@ -278,7 +280,6 @@
     share = core.SECOND_KEEPER_SHARE / max(1, deps.count_nodes())
     bucket = quotas.own_shares.get(tenant.name)
     if bucket is None:
-        bucket = core.make_bucket(tenant, share * deps.slack, now)
+        bucket = core.make_bucket(tenant, deps.bounds, share, now)
         quotas.own_shares[tenant.name] = bucket
-    own_tenant = dataclasses.replace(tenant, burst=tenant.burst * share)
-    return core.take_tokens(bucket, own_tenant, 1.0, True, share, now)
+    return core.take_tokens(bucket, tenant, deps.bounds, 1.0, True, share, now)
--- a/citronweir/service/_quotas_test.py
+++ b/citronweir/service/_quotas_test.py
@@ -88,7 +88,7 @@
         is_confirmed=lambda: True,
         spend=spend,
         notify=notify,
-        slack=SLACK,
+        bounds=core.QuotaBounds(WINDOW, EXCESS, SLACK),
     )
 
 
