Bound what incomplete requests of callers hold, and the time they take

Cause: a front node kept whatever callers sent: bodies that stop short of their end, chunks of one byte that take a hundred times their size in the parser, and heads and connections without a common limit. One guard around the HTTP server's protocol, the one of the other ports, now accounts for all bytes of requests that are being received or handled, reads 8 KB at a time, defers large bodies that take too much processor time, and closes connections by an explicit decision (core/_intake.py). The limits follow from the machine's memory and descriptors in the settings.

--- a/citronweir/core/__init__.py
+++ b/citronweir/core/__init__.py
@@ -107,6 +107,17 @@
 from citronweir.core._health import apply_reported_delays
 from citronweir.core._health import apply_reported_latency
 from citronweir.core._health import queue_delay
+from citronweir.core._intake import begin_upload
+from citronweir.core._intake import charge_cpu
+from citronweir.core._intake import COPIES as INTAKE_COPIES
+from citronweir.core._intake import end_upload
+from citronweir.core._intake import find_cpu_delay
+from citronweir.core._intake import find_max_conns
+from citronweir.core._intake import hold_bytes
+from citronweir.core._intake import Intake
+from citronweir.core._intake import make_intake
+from citronweir.core._intake import SMALL_BYTES as SMALL_UPLOAD_BYTES
+from citronweir.core._intake import Upload
 from citronweir.core._members import GossipOutput
 from citronweir.core._members import list_contacts
 from citronweir.core._members import list_members
--- a/citronweir/listeners/__init__.py
+++ b/citronweir/listeners/__init__.py
@@ -4,8 +4,10 @@
 from citronweir.listeners._guard import end_request
 from citronweir.listeners._guard import Guard
 from citronweir.listeners._guard import Guards
+from citronweir.listeners._guard import hold_body
 from citronweir.listeners._guard import Limits
 from citronweir.listeners._guard import mark_body_read
+from citronweir.listeners._guard import READ_BYTES
 from citronweir.listeners._http import BACKLOG
 from citronweir.listeners._http import LINGER_TIME
 from citronweir.listeners._http import Listener
--- a/citronweir/platform/_boot.py
+++ b/citronweir/platform/_boot.py
@@ -21,6 +21,9 @@
 # rates of two clocks, and the time between the check of a key and the write to
 # the connection.
 KEY_AGE_MARGIN = 0.02
+# Used where the settings state no limits of the machine.
+DEFAULT_MEMORY_MB = 200
+DEFAULT_MAX_FDS = 4096
 _DEFAULT_PATH = '/etc/citronweir/settings.toml'
 
 
@@ -43,6 +46,8 @@
         extra_attempt_window: Length of the window, seconds.
         max_key_age: Age, in seconds, from which the list of API keys must
             not be used; infinity if withdrawn keys may be used for longer.
+        memory_bytes: Memory from which the platform ends the process.
+        max_fds: Descriptors that the process may have open.
         quota_bounds: How far the quotas of tenants may be exceeded.
     """
 
@@ -59,6 +64,8 @@
     extra_attempt_slack: float
     extra_attempt_window: float
     max_key_age: float = math.inf
+    memory_bytes: int = DEFAULT_MEMORY_MB << 20
+    max_fds: int = DEFAULT_MAX_FDS
     quota_bounds: core.QuotaBounds = core.QuotaBounds()
 
 
@@ -111,6 +118,7 @@
 
 def _decode_settings(raw):
     bounds, listen = raw.get('bounds', {}), raw['listen']
+    limits = raw.get('limits', {})
     readiness = listen.get('readiness')
     return BootSettings(
         node_id=core.NodeId(raw['node']),
@@ -131,6 +139,11 @@
             bounds, 'retry_window_s', 10.0
         ),
         max_key_age=_decode_max_key_age(bounds),
+        memory_bytes=int(
+            _parse_nonnegative(limits, 'memory_mb', DEFAULT_MEMORY_MB)
+            * (1 << 20)
+        ),
+        max_fds=int(_parse_nonnegative(limits, 'max_fds', DEFAULT_MAX_FDS)),
         quota_bounds=core.QuotaBounds(
             _parse_nonnegative(bounds, 'quota_window_s', 1.0),
             _parse_nonnegative(bounds, 'quota_excess', 0.0),
--- a/citronweir/platform/_ingress.py
+++ b/citronweir/platform/_ingress.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from citronweir import core
+from citronweir import listeners
 from citronweir.platform import _keys as keys
 from citronweir.platform import _names as names
 
@@ -33,7 +34,7 @@
 # (struct tcp_info), and the size of its part that every kernel has.
 _RTT_OFFSET = 68
 _TCP_INFO_SIZE = 104
-BACKLOG = 1024  # connections waiting to be accepted
+DEFAULT_MAX_CONNS = 2048
 MAX_HEADER_FIELD_BYTES = 65536  # name or value of one header field
 # Used when a request has no valid deadline header.
 DEFAULT_TIMEOUT = 30.0  # seconds
@@ -60,6 +61,8 @@
 _AUTHORIZATION = names.AUTHORIZATION.lower()
 _IDENTITY_HEADERS = frozenset({_AUTHORIZATION, names.TENANT.lower()})
 _MIN_RETRY_AFTER = 0.05  # seconds
+# Time after which a request may be sent again that found no memory.
+RETRY_AFTER_NO_MEMORY = 0.5  # seconds
 _OVER_QUOTA_STATUS = 429
 
 RequestHandler = abc.Callable[
@@ -89,9 +92,13 @@
     Attributes:
         is_stopping: Whether every response closes its connection.
         conns: State of each connection that has had a request.
+        guards: Limits of the connections, and what they hold in memory.
+        listener: Accepts connections.
     """
 
+    guards: listeners.Guards
     runner: web.ServerRunner | None = None
+    listener: asyncio.Server | None = None
     is_stopping: bool = False
     conns: weakref.WeakKeyDictionary[asyncio.Transport, CallerConnection] = (
         dataclasses.field(default_factory=weakref.WeakKeyDictionary)
@@ -103,6 +110,8 @@
     handle: RequestHandler,
     limits: abc.Callable[[], core.CallerLimits],
     rng: random.Random,
+    intake: core.Intake | None = None,
+    max_conns: int = DEFAULT_MAX_CONNS,
 ) -> Ingress:
     """Starts the HTTP server for callers.
 
@@ -111,6 +120,9 @@
         handle: Handles one request; cancelled when the caller disconnects.
         limits: Returns the caller limits of the current configuration.
         rng: Random source for connection ages.
+        intake: Memory and processor time for incomplete requests; unlimited
+            if None.
+        max_conns: Maximum number of open connections.
 
     Returns:
         State of the running server.
@@ -118,12 +130,26 @@
     Raises:
         OSError: Listening on the address failed.
     """
-    ingress = Ingress()
+    guards = listeners.Guards(
+        _make_limits(limits(), max_conns), intake=intake or core.Intake()
+    )
+    ingress = Ingress(guards)
 
     async def answer(request):
+        protocol = request.protocol
+        listeners.begin_request(guards, protocol)
+        try:
+            response = await answer_guarded(request)
+        finally:
+            listeners.end_request(guards, protocol)
+        return response
+
+    async def answer_guarded(request):
         conn = _find_connection(ingress, request.transport, rng)
         conn.requests += 1
-        response = await _handle_request(request, handle, limits(), conn)
+        response = await _handle_request(
+            request, handle, limits(), conn, guards
+        )
         if ingress.is_stopping or time.monotonic() >= conn.close_at:
             response.force_close()
         return response
@@ -135,13 +161,18 @@
         keepalive_timeout=KEEP_ALIVE_TIMEOUT,
         auto_decompress=False,
         max_field_size=MAX_HEADER_FIELD_BYTES,
+        read_bufsize=listeners.READ_BYTES,
     )
     ingress.runner = web.ServerRunner(server, shutdown_timeout=0.5)
     await ingress.runner.setup()
-    site = web.TCPSite(
-        ingress.runner, address.host, address.port, backlog=BACKLOG
+
+    def make_protocol():
+        guards.limits = _make_limits(limits(), max_conns)
+        return listeners.Guard(guards, server())
+
+    ingress.listener = await asyncio.get_running_loop().create_server(
+        make_protocol, address.host, address.port, backlog=listeners.BACKLOG
     )
-    await site.start()
     return ingress
 
 
@@ -158,8 +189,7 @@
     server = ingress.runner.server
     if server is None:
         return  # already closed
-    for site in list(ingress.runner.sites):
-        await site.stop()
+    ingress.listener.close()
     await asyncio.sleep(0)  # lets requests already received start
     server.pre_shutdown()
     await server.shutdown(limit)
@@ -193,7 +223,19 @@
     return min(MAX_ROUND_TRIP, micros / 1e6)
 
 
-async def _handle_request(request, handle, limits, conn):
+def _make_limits(limits, max_conns):
+    return listeners.Limits(
+        limits.body_bytes,
+        max_conns,
+        limits.header_timeout,
+        limits.header_bytes,
+        # Callers may leave a connection idle for the idle timeout, which may
+        # change while it is open.
+        KEEP_ALIVE_TIMEOUT,
+    )
+
+
+async def _handle_request(request, handle, limits, conn, guards):
     request_id = request.headers.get(names.REQUEST_ID)
     if not request_id:
         return web.Response(status=400)
@@ -202,25 +244,42 @@
         return _reject_large_body()
     body = b''
     if request.body_exists:
-        body = await _read_body(request, limits.body_bytes)
-        if body is None:
-            return _reject_large_body()
+        body = await _read_body(request, limits, guards)
+        if isinstance(body, web.Response):
+            return body
+    listeners.mark_body_read(guards, request.protocol)
     return _render_outcome(
         await handle(_decode_request(request, request_id, body, conn))
     )
 
 
-async def _read_body(request, limit):
-    body = bytearray()
-    async for chunk in request.content.iter_any():
-        body += chunk
-        if len(body) > limit:
-            return None
+async def _read_body(request, limits, guards):
+    """Returns the body, or the response that refuses it."""
+    body, protocol = bytearray(), request.protocol
+    try:
+        while not request.content.at_eof():
+            async with asyncio.timeout(limits.idle_timeout):
+                chunk = await request.content.readany()
+            body += chunk
+            if len(body) > limits.body_bytes:
+                return _reject_large_body()
+            if not listeners.hold_body(guards, protocol, len(chunk)):
+                return _refuse(503, RETRY_AFTER_NO_MEMORY)
+    except TimeoutError:
+        return _refuse(408)
     return bytes(body)
 
 
 def _reject_large_body():
-    response = web.Response(status=413)
+    return _refuse(413)
+
+
+def _refuse(status, retry_after=None):
+    """Builds the response to a request that was not read completely."""
+    headers = {}
+    if retry_after is not None:
+        headers[names.RETRY_AFTER] = f'{retry_after:.3f}'
+    response = web.Response(status=status, headers=headers)
     response.force_close()
     return response
 
--- a/citronweir/programs/_compose_front.py
+++ b/citronweir/programs/_compose_front.py
@@ -87,6 +87,7 @@
         ),
         started_at=time.monotonic(),
         locality=core.Locality(boot.dc, boot.regions),
+        intake=core.make_intake(boot.memory_bytes),
         log_limits=telemetry.make_log_limits(),
     )
     ctx.catalogue.directory.on_excluded = functools.partial(
@@ -113,7 +114,12 @@
         return await service.run_request(request_deps, req)
 
     ingress = await platform.start_ingress(
-        boot.callers, handle, lambda: _caller_limits(ctx), ctx.rng
+        boot.callers,
+        handle,
+        lambda: _caller_limits(ctx),
+        ctx.rng,
+        ctx.intake,
+        core.find_max_conns(boot.memory_bytes, boot.max_fds),
     )
     config_deps = store.make_config_dependencies(ctx, lambda: _run_upkeep(ctx))
     node_server = await nodes.start_server(
@@ -229,6 +235,8 @@
             'replicas_departed': len(catalogue.directory.departures.epochs),
             'replicas_paused': len(ctx.pauses),
             'data_centres_evacuated': len(catalogue.directory.evacuated),
+            'uploads': len(ctx.intake.uploads),
+            'upload_bytes': ctx.intake.total,
             'quotas_kept': len(ctx.quotas.buckets),
             'tenants_limited_now': len(ctx.quotas.limited_until),
             'connections': upstreams.count_conns(ctx.channels),
--- a/citronweir/programs/_front_context.py
+++ b/citronweir/programs/_front_context.py
@@ -20,6 +20,7 @@
     """State of a front node.
 
     Attributes:
+        intake: Memory that requests being received or handled take.
         started_at: Monotonic second at which the node started.
         loads: Load and latency observed for each replica.
         windows: Latencies by route and data centre of the replica.
@@ -55,6 +56,7 @@
     links: nodes.Links
     extra: core.ExtraLoad
     locality: core.Locality
+    intake: core.Intake
     log_limits: telemetry.LogLimits
     started_at: float
     counters: telemetry.Counters = dataclasses.field(
