Treat replies with a status outside HTTP as no replies

Cause: a reply with status 000, 001, 042 or 099 was taken for an interim one and its connection awaited until the deadline; 600, 700 and 999 were passed on to the caller, 101 was awaited. The exchange with a replica now ends at once as malformed and closes the connection; the client of the project's own upstreams no longer reads 'not run' from such a reply. The store's client takes only 200, 404, 410 and 412 for answers, and node streams carry no status.

--- a/citronweir/upstreams/_codec.py
+++ b/citronweir/upstreams/_codec.py
@@ -166,6 +166,9 @@
 
 
 def _decode_refusal(status, headers):
+    if not 200 <= status < 600:
+        # No status of HTTP, so its headers say nothing either.
+        return core.SubUnknown(core.UnknownReason.REPLY_LOST)
     if headers.get('x-not-run') == '1':
         if headers.get('x-draining') == '1':
             return core.SubNotRun(core.NotRunReason.DRAINING)
--- a/citronweir/upstreams/_exchange.py
+++ b/citronweir/upstreams/_exchange.py
@@ -26,6 +26,7 @@
 MAX_BUFFERED_BYTES = 32 << 20
 SMALL_REPLY_BYTES = 256 << 10
 _NO_BODY = frozenset({204, 304})
+_SWITCHING_PROTOCOLS = 101  # requests never ask for it
 
 
 class Loss(enum.Enum):
@@ -182,7 +183,15 @@
             self._headers[key] = value.decode('latin-1')
 
     def on_headers_complete(self):
-        """Determines how the end of the body is delimited."""
+        """Checks the status and determines how the body is delimited.
+
+        Raises:
+            ValueError: The status is none that HTTP allows here.
+        """
+        status = self._parser.get_status_code()
+        if not 100 <= status < 600 or status == _SWITCHING_PROTOCOLS:
+            # Stops the parser, which reports the error to its caller.
+            raise ValueError(f'status {status}')
         if self._reply is None and self._parser.get_status_code() >= 200:
             self._has_head = True
             self._is_close_delimited = not (
--- a/citronweir/upstreams/_exchange_test.py
+++ b/citronweir/upstreams/_exchange_test.py
@@ -114,6 +114,31 @@
     assert isinstance(await _send_and_cut(payload), core.Lost)
 
 
+@pytest.mark.parametrize(
+    'status', ['000', '001', '042', '099', '101', '600', '700', '999']
+)
+async def test_status_outside_http_is_not_a_reply(status):
+    """Guards G3: such a reply was passed on, or awaited until the deadline.
+
+    The connection stays open, so only the reply itself can end the exchange.
+    """
+    closed = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        head = LENGTH_DELIMITED.replace(b'200 OK', b'%s X' % status.encode())
+        writer.write(head + BODY)
+        await reader.read()
+        writer.close()
+        closed.set()
+
+    async with await asyncio.start_server(serve, '127.0.0.1', 0) as server:
+        port = server.sockets[0].getsockname()[1]
+        outcome = await _send_request(port, 60.0)
+        assert outcome == core.Lost(core.UnknownReason.REPLY_LOST)
+        await closed.wait()
+
+
 async def test_reply_without_length_ends_with_its_connection():
     """Guards replies that are delimited by the end of the connection.
 
