Learn how many requests each replica takes well

Cause: the choice of a replica assumed that it takes as many requests as it has slots. Some slow down long before.

--- a/citronweir/core/__init__.py
+++ b/citronweir/core/__init__.py
@@ -27,6 +27,9 @@
 from citronweir.core._budget import take_hedge
 from citronweir.core._budget import take_reroute
 from citronweir.core._budget import take_retry
+from citronweir.core._capacity import Capacity
+from citronweir.core._capacity import find_limit
+from citronweir.core._capacity import record_time
 from citronweir.core._changes import decide_change
 from citronweir.core._changes import interpret_conflict
 from citronweir.core._changes import interpret_read_back
@@ -155,11 +158,13 @@
 from citronweir.core._placement import choose_trial
 from citronweir.core._placement import estimate_initial_latency
 from citronweir.core._placement import expected_time
+from citronweir.core._placement import find_concurrency
 from citronweir.core._placement import is_avoided
 from citronweir.core._placement import is_due_for_trial
 from citronweir.core._placement import is_late
 from citronweir.core._placement import is_stalled
 from citronweir.core._placement import Locality
+from citronweir.core._placement import record_capacity
 from citronweir.core._placement import record_reported_load
 from citronweir.core._placement import record_request_abandoned
 from citronweir.core._placement import record_request_answered
--- a/citronweir/core/_placement.py
+++ b/citronweir/core/_placement.py
@@ -7,6 +7,7 @@
 from collections import abc
 import dataclasses
 
+from citronweir.core import _capacity as capacities
 from citronweir.core import _data as data
 
 # Latency, in seconds, assumed for a replica before its first answer.
@@ -57,6 +58,8 @@
         warmup_until: Monotonic time at which its warm-up ends.
         queued: Queue length that the replica last reported.
         queued_at: Monotonic time of that report.
+        running: Number of requests that it last reported to run.
+        capacity: How many requests it takes well at once.
     """
 
     initial_latency: float
@@ -68,6 +71,10 @@
     warmup_until: float = 0.0
     queued: int = 0
     queued_at: float = -QUEUE_REPORT_TTL
+    running: int = 0
+    capacity: capacities.Capacity = dataclasses.field(
+        default_factory=capacities.Capacity
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,12 +116,13 @@
         slots: Number of requests that the replica runs concurrently.
         now: Monotonic clock, seconds.
     """
+    limit = capacities.find_limit(load.capacity, slots, now)
     latency = load.latency
     queue_length = len(load.in_flight)
     if now - load.queued_at < QUEUE_REPORT_TTL:
         queue_length += load.queued
     expected = latency * (
-        1.0 + max(0, queue_length + 1 - slots) / max(1, slots)
+        1.0 + max(0.0, queue_length + 1 - limit) / max(1.0, limit)
     )
     if now < load.warmup_until:
         expected *= WARMUP_FACTOR
@@ -259,3 +267,26 @@
 ) -> None:
     """Records the queue length that a replica reported with an answer."""
     load.queued, load.queued_at = reported.waiting, now
+    load.running = reported.running
+
+
+def find_concurrency(load: ReplicaLoad, now: float) -> int:
+    """Returns the requests at a replica, of all nodes as far as known."""
+    own = len(load.in_flight)
+    if now - load.queued_at >= QUEUE_REPORT_TTL:
+        return own
+    return max(own, load.running + load.queued)
+
+
+def record_capacity(
+    load: ReplicaLoad,
+    slots: int,
+    concurrency: int,
+    relative: float,
+    now: float,
+) -> None:
+    """Records the time of an answer for the limit of a replica.
+
+    See ``capacities.record_time`` for the arguments.
+    """
+    capacities.record_time(load.capacity, slots, concurrency, relative, now)
--- a/citronweir/programs/_compose_front.py
+++ b/citronweir/programs/_compose_front.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+import math
 import random
 import signal
 import time
@@ -232,6 +233,10 @@
             'replicas_avoided': sum(
                 core.is_avoided(load, now) for load in ctx.loads.values()
             ),
+            'replicas_limited': sum(
+                not math.isinf(load.capacity.limit)
+                for load in ctx.loads.values()
+            ),
             'replicas_departed': len(catalogue.directory.departures.epochs),
             'replicas_paused': len(ctx.pauses),
             'data_centres_evacuated': len(catalogue.directory.evacuated),
--- a/citronweir/programs/_front_context.py
+++ b/citronweir/programs/_front_context.py
@@ -24,6 +24,8 @@
         started_at: Monotonic second at which the node started.
         loads: Load and latency observed for each replica.
         windows: Latencies by route and data centre of the replica.
+        usual_times: Mean seconds of an answer by route and data centre of
+            the replica.
         group_windows: Latencies of group answers by route and data centre
             of the node that answered.
         node_loads: Load and latency observed for each other node.
@@ -74,6 +76,9 @@
     windows: dict[
         tuple[core.RouteName, core.DataCentre], core.LatencyWindow
     ] = dataclasses.field(default_factory=dict)
+    usual_times: dict[tuple[core.RouteName, core.DataCentre], float] = (
+        dataclasses.field(default_factory=dict)
+    )
     group_windows: dict[
         tuple[core.RouteName, core.DataCentre], core.LatencyWindow
     ] = dataclasses.field(default_factory=dict)
--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -18,6 +18,10 @@
 # Relative random spread of the latency estimates. Without it, all nodes would
 # choose the same one of two replicas with similar estimates.
 LATENCY_JITTER = 0.15
+# Weight of the newest sample of the usual time of a route, and the multiple to
+# which samples are cut.
+USUAL_SMOOTHING = 0.02
+MAX_USUAL_RATIO = 4.0
 # Of the requests that ended as planned, one in this many is logged.
 LOG_SAMPLE_INTERVAL = 64
 _SAMPLED_EVENTS = (
@@ -214,6 +218,7 @@
         load = ctx.loads[replica.replica_id]
         ctx.last_request_number += 1
         number, sent_at = ctx.last_request_number, time.monotonic()
+        concurrency = core.find_concurrency(load, sent_at) + 1
         core.record_request_sent(load, number, sent_at)
         lost_at = None
 
@@ -221,8 +226,17 @@
             nonlocal lost_at
             now = time.monotonic()
             match outcome:
-                case core.Replied():
+                case core.Replied(reply):
                     crash_reports.record_answer(ctx, req, replica.service)
+                    if reply.status < 500:
+                        _record_capacity(
+                            ctx,
+                            replica,
+                            load,
+                            route,
+                            concurrency,
+                            now - sent_at,
+                        )
                 case core.Lost(reason):
                     if reason is not core.UnknownReason.ABANDONED:
                         lost_at = now
@@ -264,6 +278,21 @@
     return send
 
 
+def _record_capacity(ctx, replica, load, route, concurrency, seconds):
+    """Compares the time of an answer with the usual time of its route."""
+    key = route.name, replica.dc
+    usual = ctx.usual_times.get(key, seconds)
+    sample = min(seconds, MAX_USUAL_RATIO * usual)
+    ctx.usual_times[key] = usual + USUAL_SMOOTHING * (sample - usual)
+    core.record_capacity(
+        load,
+        replica.slots,
+        concurrency,
+        seconds / max(1e-6, usual),
+        time.monotonic(),
+    )
+
+
 def _update_load(ctx, replica, load, number, outcome, sent_at, now):
     match outcome:
         case core.Replied(reply):
