Count no failure of a replica when the caller of an order leaves

Cause: a request that its caller left late counted as a failure, and after two of them a replica was avoided until a trial, which non-idempotent routes don't have. Such a request no longer counts, and failures are forgotten after 10 s without requests to the replica.

--- a/citronweir/core/_placement.py
+++ b/citronweir/core/_placement.py
@@ -25,6 +25,9 @@
 TRIAL_INTERVAL = 1.0  # seconds
 # Consecutive failures after which only a trial can show a recovery.
 MIN_FAILURES_FOR_TRIAL = 2
+# Failures are forgotten after this time without requests. Services that only
+# have non-idempotent requests have no trials.
+FORGET_TIME = 10.0  # seconds
 # A replica counts as slow above this multiple of its initial latency.
 SLOW_FACTOR = 2.0
 # A replica counts as stalled when its oldest request in flight takes longer
@@ -135,7 +138,10 @@
 
 def is_avoided(load: ReplicaLoad, now: float) -> bool:
     """Returns whether other replicas are preferred after failures."""
-    return now < load.backoff_until or load.failures >= MIN_FAILURES_FOR_TRIAL
+    if now < load.backoff_until:
+        return True
+    is_forgotten = now - load.last_sent_at >= FORGET_TIME
+    return load.failures >= MIN_FAILURES_FOR_TRIAL and not is_forgotten
 
 
 def is_stalled(load: ReplicaLoad, now: float) -> bool:
--- a/citronweir/core/_placement_test.py
+++ b/citronweir/core/_placement_test.py
@@ -137,3 +137,16 @@
     assert placement.expected_time(
         load, 2, placement.QUEUE_REPORT_TTL
     ) == pytest.approx(idle)
+
+
+def test_failures_without_trials_are_forgotten():
+    """Guards replicas of services that only have non-idempotent requests.
+
+    Two lost answers would otherwise take a replica out of use for good.
+    """
+    load = core.ReplicaLoad(0.01, 0.01, 0.0)
+    for number in range(2):
+        core.record_request_sent(load, number, 1.0)
+        core.record_request_failed(load, number, 1.0)
+    assert core.is_avoided(load, 10.9)
+    assert not core.is_avoided(load, 11.1)
--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -241,7 +241,7 @@
                     if reason is not core.UnknownReason.ABANDONED:
                         lost_at = now
                     crash_reports.record_loss(ctx, req)
-            _update_load(ctx, replica, load, number, outcome, sent_at, now)
+            _update_load(ctx, replica, route, load, number, outcome, now)
             name = type(outcome).__name__.lower()
             telemetry.count(ctx.counters, 'attempts', outcome=name)
             if not isinstance(outcome, core.Replied):
@@ -293,7 +293,7 @@
     )
 
 
-def _update_load(ctx, replica, load, number, outcome, sent_at, now):
+def _update_load(ctx, replica, route, load, number, outcome, now):
     match outcome:
         case core.Replied(reply):
             if reply.status >= 500:
@@ -308,8 +308,11 @@
             core.mark_misdirected(ctx.catalogue.directory, replica)
         case core.NotRun(reason) if reason in _LOCAL_REASONS:
             core.record_request_abandoned(load, number)
-        case core.Lost(core.UnknownReason.ABANDONED) if not core.is_late(
-            load, now - sent_at
+        case core.Lost(core.UnknownReason.ABANDONED) if (
+            # Only a trial could show that the replica works after all, and
+            # non-idempotent requests have none.
+            route.repeat is core.Idempotency.NON_IDEMPOTENT
+            or not core.is_late(load, now - load.in_flight.get(number, now))
         ):
             core.record_request_abandoned(load, number)
         case _:
--- a/citronweir/programs/_front_requests_test.py
+++ b/citronweir/programs/_front_requests_test.py
@@ -1,10 +1,13 @@
 """Tests of the wiring and the log of requests in a front node."""
 
 import asyncio
+import dataclasses
 import random
 import time
 import types
 
+import pytest
+
 from citronweir import core
 from citronweir import service
 from citronweir import telemetry
@@ -63,10 +66,28 @@
     assert fields['lacking'] == 's0 s1'
 
 
-async def test_caller_that_leaves_does_not_take_its_replica_out_of_use():
-    """Guards against replicas that count as stalled for good.
+@pytest.mark.parametrize(
+    'route, latency',
+    [
+        (routes.make_gather_route(2), 1.0),
+        # The replica is at work for longer than usual, as most are when a
+        # caller gives up. No trial would show that it works.
+        (
+            dataclasses.replace(
+                routes.make_gather_route(2),
+                repeat=core.Idempotency.NON_IDEMPOTENT,
+            ),
+            0.01,
+        ),
+    ],
+)
+async def test_caller_that_leaves_does_not_take_its_replica_out_of_use(
+    route, latency
+):
+    """Guards against replicas that count as stalled or failed for good.
 
-    The abandoned request stayed among those in flight at the replica.
+    The abandoned request stayed among those in flight at the replica, or
+    counted as its failure.
     """
     state = replicas.Replica('i-1', delay=5.0)
     server = await replicas.start(state)
@@ -80,7 +101,7 @@
     ctx = _make_context()
     ctx.channels = upstreams.Channels(time.monotonic)
     ctx.crash_reports = core.CrashReportTable()
-    ctx.loads = {replica.replica_id: core.ReplicaLoad(1.0, 1.0, 0.0)}
+    ctx.loads = {replica.replica_id: core.ReplicaLoad(latency, latency, 0.0)}
     ctx.extra = core.ExtraLoad(0.2, 56, 1)
     ctx.locality = core.Locality(replica.dc, {replica.dc: 'north'})
     ctx.rng, ctx.last_request_number = random.Random(1), 0
@@ -92,7 +113,7 @@
     handle = deps.send(
         req,
         replica,
-        routes.make_gather_route(2),
+        route,
         time.monotonic() + 9.0,
         lambda outcome, seconds: None,
     )
@@ -103,7 +124,7 @@
     async with asyncio.timeout(2.0):
         while load.in_flight:
             await asyncio.sleep(0.01)
-    # The caller left early, so the replica has not failed.
+    # The caller left, so the replica has not failed.
     assert load.failures == 0
     upstreams.close_all(ctx.channels)
     server.close()
