Let the soak test withdraw API keys

Cause: the promise that a withdrawn key is used by no node, also by a paused or cut-off one, was tested for single failures only.

--- a/bench/_soak_checks.py
+++ b/bench/_soak_checks.py
@@ -8,6 +8,7 @@
 from collections import abc
 import dataclasses
 import enum
+import math
 
 from fakes import front_fleet as fleets
 from fakes import platform_replica as replicas
@@ -30,6 +31,10 @@
 REJECTION_TIME = 4.0  # seconds
 CRASHES_BEFORE_REJECTION = 3
 MAX_LATE_REPEATS = 3
+# Time after which a withdrawn API key must not be used by any node
+# (`revoke_ms`), also by one that is paused or cut off from the store.
+REVOKE_TIME = 2.5  # seconds
+TENANT = 'tenant-1'
 # Statuses that guarantee that a request was not and will not be executed.
 REFUSALS = frozenset({408, 421, 429, 503})
 
@@ -176,6 +181,36 @@
     ]
 
 
+def check_identities(
+    replies: abc.Iterable[Reply],
+    states: abc.Iterable[replicas.Replica],
+    withdrawn: abc.Mapping[str, float],
+) -> list[str]:
+    """Checks that keys stay at the nodes and end in time.
+
+    Args:
+        replies: Outcomes at the callers; the id of a request ends with its
+            API key.
+        states: Replicas.
+        withdrawn: Monotonic time at which each key was withdrawn.
+    """
+    errors, ran = [], set()
+    for state in states:
+        ran.update(state.ran)
+        for line, headers, _ in state.seen:
+            is_public = line.split(' ')[1].startswith('/v')
+            if 'Authorization' in headers:
+                errors.append(f'a key reached {state.replica_id}: {line}')
+            if not is_public and headers.get('X-Tenant') != TENANT:
+                errors.append(f'{line} without its tenant')
+    for reply in replies:
+        key = reply.request_id.rpartition('/')[2]
+        is_late = reply.sent_at > withdrawn.get(key, math.inf) + REVOKE_TIME
+        if is_late and reply.request_id in ran:
+            errors.append(f'{reply.request_id} ran with a withdrawn key')
+    return errors
+
+
 def check_crashes(
     states: abc.Iterable[replicas.Replica],
     disturbances: abc.Iterable[Disturbance],
--- a/bench/_soak_checks_test.py
+++ b/bench/_soak_checks_test.py
@@ -15,6 +15,26 @@
     return checks.Reply(kind, 'q1', 'n1', **fields)
 
 
+@pytest.mark.parametrize(
+    'headers, sent_at, has_errors',
+    [
+        ({'X-Tenant': checks.TENANT}, 3.4, False),
+        ({'X-Tenant': checks.TENANT}, 3.6, True),
+        ({'X-Tenant': 'forged'}, 1.0, True),
+        ({'X-Tenant': checks.TENANT, 'Authorization': 'k'}, 1.0, True),
+    ],
+)
+def test_keys_stay_at_the_nodes_and_end_in_time(headers, sent_at, has_errors):
+    """Guards against a withdrawn key that the soak test overlooks."""
+    state = replicas.Replica('i-0a', ran=['q/key1'])
+    state.seen.append(('GET /a/x HTTP/1.1', headers, b''))
+    reply = checks.Reply(
+        Kind.PLAIN, 'q/key1', 'n1', sent_at=sent_at, ended_at=9.0
+    )
+    errors = checks.check_identities([reply], [state], {'key1': 1.0})
+    assert bool(errors) == has_errors
+
+
 def _state(*arrivals, ran=()):
     """Builds a replica that received requests with these ids and times."""
     state = replicas.Replica('i-0a', ran=list(ran))
--- a/bench/_soak_faults.py
+++ b/bench/_soak_faults.py
@@ -47,6 +47,8 @@
         is_crashing: Whether replicas also crash at random times.
         has_notices: Whether replicas also leave or ask for a pause, which
             only their answers say.
+        keys: API keys of the tenant, the newest last; empty without tenants.
+        withdrawn: Monotonic time at which each further key was withdrawn.
     """
 
     fleet: fleets.Fleet
@@ -64,6 +66,20 @@
     busy: set[str] = dataclasses.field(default_factory=set)
     is_crashing: bool = False
     has_notices: bool = False
+    keys: list[str] = dataclasses.field(default_factory=list)
+    withdrawn: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+def put_config(soak_run: SoakRun) -> None:
+    """Writes the configuration of the current version and keys."""
+    valid = [key for key in soak_run.keys if key not in soak_run.withdrawn]
+    tenant = {'name': checks.TENANT, 'api_keys': valid, 'priority': 1}
+    fleets.put_config(
+        soak_run.fleet.store,
+        soak_run.version,
+        *make_routes(soak_run.version),
+        tenants=[tenant] if soak_run.keys else [],
+    )
 
 
 def make_routes(version: int) -> list[dict]:
@@ -75,7 +91,10 @@
         fleets.make_route(path_prefix='/p/', backend='s1', name='plain'),
         fleets.make_route(path_prefix='/order/', **order),
         fleets.make_route(
-            path_prefix=f'/v{version}/', backend='s1', name=f'v{version}'
+            path_prefix=f'/v{version}/',
+            backend='s1',
+            name=f'v{version}',
+            public=True,
         ),
     ]
 
@@ -89,6 +108,8 @@
     kinds = soak_run.rng.sample(FAULTS, soak_run.rng.randint(2, len(FAULTS)))
     if soak_run.has_notices:
         kinds += NOTICE_FAULTS
+    if soak_run.keys:
+        kinds += TENANT_FAULTS
     end = time.monotonic() + seconds
     async with asyncio.TaskGroup() as group:
         active = set()
@@ -328,11 +349,19 @@
 async def _change_config(soak_run):
     for _ in range(soak_run.rng.randint(1, 4)):
         soak_run.version += soak_run.rng.randint(1, 5)
-        routes = make_routes(soak_run.version)
-        fleets.put_config(soak_run.fleet.store, soak_run.version, *routes)
+        put_config(soak_run)
         await asyncio.sleep(soak_run.rng.uniform(0.0, 0.5))
 
 
+async def _replace_key(soak_run):
+    """Withdraws the newest key, unless it is the only one, and adds one."""
+    if len(soak_run.keys) > 1:
+        soak_run.withdrawn[soak_run.keys[-1]] = time.monotonic()
+    soak_run.keys.append(f'key{len(soak_run.keys)}')
+    soak_run.version += 1
+    put_config(soak_run)
+
+
 FAULTS = (
     _pause_node,
     _kill_node,
@@ -348,4 +377,5 @@
     _change_config,
 )
 # Kept apart, so that a seed without them draws the same faults as before.
+TENANT_FAULTS = (_replace_key, _replace_key)
 NOTICE_FAULTS = (_leave_replica, _pause_replicas)
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -41,6 +41,10 @@
     checks.Kind.PLAIN: ('GET', '/p/x'),
     checks.Kind.ORDER: ('POST', '/order/x'),
 }
+LASTING_KEY_SHARE = 0.7  # of the requests
+STRICT_BOUNDS = (
+    f'strict_revoke = true\nrevoke_ms = {checks.REVOKE_TIME * 1000:.0f}'
+)
 _VERSION = re.compile(r'^citronweir_configuration_version (\S+)', re.M)
 
 app = cyclopts.App(help=__doc__)
@@ -67,6 +71,7 @@
     folder: pathlib.Path,
     crashes: bool = False,
     notices: bool = False,
+    tenants: bool = False,
 ) -> SoakResult:
     """Runs the soak test with one seed.
 
@@ -78,16 +83,25 @@
             a request that its caller repeats. Nodes then connect to the
             replicas directly, without proxies.
         notices: Whether replicas also leave or ask for a pause.
+        tenants: Whether requests carry API keys, some of which are withdrawn.
     """
     rng = random.Random(seed)
     routes = faults.make_routes(3)
     replica_suffixes = CRASH_REPLICA_SUFFIXES if crashes else 'ab'
     async with fleets.run(
-        folder, NODES, routes, faults.GRACE_PERIOD, replica_suffixes, crashes
+        folder,
+        NODES,
+        routes,
+        faults.GRACE_PERIOD,
+        replica_suffixes,
+        crashes,
+        STRICT_BOUNDS if tenants else '',
     ) as fleet:
         soak_run = faults.SoakRun(
             fleet, rng, is_crashing=crashes, has_notices=notices
         )
+        if tenants:
+            await _add_tenant(soak_run)
         replies, samples = [], []
         callers = [
             asyncio.create_task(_run_caller(soak_run, number, replies))
@@ -110,6 +124,16 @@
         return SoakResult(errors, outcomes, len(soak_run.disturbances))
 
 
+async def _add_tenant(soak_run):
+    soak_run.keys += ['key0', 'key1']
+    soak_run.version += 1
+    faults.put_config(soak_run)
+    await asyncio.sleep(checks.APPLY_TIME)
+    for replica in soak_run.fleet.replicas.values():
+        replica.state.seen.clear()
+        replica.state.seen_at.clear()
+
+
 def _run_checks(soak_run, replies, samples):
     states = {
         name: replica.state
@@ -123,7 +147,13 @@
         name: replica.service
         for name, replica in soak_run.fleet.replicas.items()
     }
+    identity_errors = []
+    if soak_run.keys:
+        identity_errors = checks.check_identities(
+            replies, states.values(), soak_run.withdrawn
+        )
     return [
+        *identity_errors,
         *checks.check_order_runs(replies, states.values()),
         *checks.check_replies(replies, records, services),
         *checks.check_lost_replies(
@@ -151,14 +181,22 @@
             await asyncio.sleep(REQUEST_INTERVAL)
             kind = rng.choice(list(checks.Kind))
             name = rng.choice(NODES)
-            request_id = f'c{number}-{count}'
+            key = _choose_key(soak_run, rng)
+            request_id = f'c{number}-{count}/{key}'
             replies.append(
                 await _send_request(
-                    soak_run.fleet, session, kind, name, request_id
+                    soak_run.fleet, session, kind, name, request_id, key
                 )
             )
 
 
+def _choose_key(soak_run, rng):
+    """Chooses the lasting key, or one of the latest, maybe a withdrawn one."""
+    if not soak_run.keys or rng.random() < LASTING_KEY_SHARE:
+        return soak_run.keys[0] if soak_run.keys else ''
+    return rng.choice(soak_run.keys[-3:])
+
+
 async def _repeat_poison_request(soak_run):
     """Repeats a request that crashes the replica that executes it."""
     rng = random.Random(soak_run.rng.random())
@@ -175,12 +213,19 @@
             )
 
 
-async def _send_request(fleet, session, kind, name, request_id):
+async def _send_request(fleet, session, kind, name, request_id, key=''):
     method, path = PATHS[kind]
+    headers = {'Authorization': f'Bearer {key}'} if key else None
     sent_at = time.monotonic()
     try:
         status, headers, body = await fleets.send_request(
-            fleet, name, path, request_id, session, method=method
+            fleet,
+            name,
+            path,
+            request_id,
+            session,
+            headers=headers,
+            method=method,
         )
         outcome = {'status': status, 'headers': headers, 'body': body}
     except (aiohttp.ClientError, TimeoutError) as exc:
@@ -230,10 +275,11 @@
             and (await fleets.send_request(fleet, name, '/v3/'))[0] != 404
         ):
             errors.append(f'{name} still serves version 3')
-    return errors or await _check_steady_service(fleet)
+    return errors or await _check_steady_service(soak_run)
 
 
-async def _check_steady_service(fleet):
+async def _check_steady_service(soak_run):
+    fleet, key = soak_run.fleet, (soak_run.keys or [''])[0]
     # Nodes retry replicas that failed within one to two seconds.
     await asyncio.sleep(checks.APPLY_TIME)
     errors = []
@@ -241,7 +287,7 @@
         name = NODES[number % len(NODES)]
         kind = list(checks.Kind)[number % len(checks.Kind)]
         reply = await _send_request(
-            fleet, fleet.session, kind, name, f'end-{number}'
+            fleet, fleet.session, kind, name, f'end-{number}', key
         )
         if reply.status != 200:
             outcome = reply.status or reply.error
@@ -258,6 +304,7 @@
     seconds: float = 15.0,
     crashes: bool = False,
     notices: bool = False,
+    tenants: bool = False,
 ) -> None:
     """Runs consecutive seeds one after another.
 
@@ -267,11 +314,14 @@
         seconds: Time for which faults are injected with each seed.
         crashes: Whether replicas also crash.
         notices: Whether replicas also leave or ask for a pause.
+        tenants: Whether requests carry API keys, some of which are withdrawn.
     """
     failed = 0
     for seed in range(first, first + count):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-        result = asyncio.run(run_seed(seed, seconds, folder, crashes, notices))
+        result = asyncio.run(
+            run_seed(seed, seconds, folder, crashes, notices, tenants)
+        )
         failed += bool(result.errors)
         print(
             f'seed {seed}: {len(result.errors)} errors,'
--- a/bench/soak_test.py
+++ b/bench/soak_test.py
@@ -39,6 +39,13 @@
     assert result.outcomes['200'] > 100
 
 
+async def test_guarantees_hold_while_keys_are_withdrawn(tmp_path):
+    """Guards withdrawn keys at nodes that are paused, killed or cut off."""
+    result = await soak.run_seed(5, 2 * SECONDS, tmp_path, tenants=True)
+    assert not result.errors, result.errors
+    assert result.outcomes['200'] > 100
+
+
 @pytest.mark.parametrize('seed', SLOW_SHUTDOWN_SEEDS)
 async def test_stopping_node_exits_within_grace_period(seed, tmp_path):
     """Guards G7: a node that exceeds its grace period is killed mid-work."""
