Let only tenants near their quota ask for a token first

Cause: a tenant counted as limited below half of its bucket, and a new bucket begins below that, so that small tenants asked before each request for half a minute after a start, a round trip between regions of a target of 116 ms. The reserve is now what nodes may spend before a notice reaches them.

--- a/citronweir/core/_quotas.py
+++ b/citronweir/core/_quotas.py
@@ -11,9 +11,10 @@
 
 from citronweir.core import _data as data
 
-# A tenant counts as limited while its bucket holds less than this share of
-# the burst, or has less than this time's worth of tokens.
-LIMITED_SHARE = 0.5
+# A tenant counts as limited while its bucket holds fewer tokens than nodes may
+# spend before they learn of it: some requests, or this time's worth of them.
+# Asking first costs a round trip, so a tenant far below its quota must not.
+LIMITED_TOKENS = 3.0
 LIMITED_TIME = 0.5  # seconds
 # Time for which nodes ask first after a notice. It outlives a lost notice and
 # is repeated while the tenant stays limited.
@@ -135,7 +136,7 @@
     if is_granted:
         level = min(capacity, bucket.level - count)
         bucket.level = max(level, -MAX_DEBT_TIME * tenant.rate - capacity)
-    reserve = max(LIMITED_SHARE * capacity, LIMITED_TIME * rate)
+    reserve = max(LIMITED_TOKENS, LIMITED_TIME * rate)
     is_limited = bucket.level < min(reserve, capacity)
     return QuotaDecision(
         is_granted=is_granted,
--- a/citronweir/core/_quotas_test.py
+++ b/citronweir/core/_quotas_test.py
@@ -86,3 +86,19 @@
         decision = _ask(bucket, number / 100)
         sent += core.is_notice_due(bucket, decision, number / 100)
     assert 1 <= sent <= 2
+
+
+def test_tenant_far_below_its_quota_asks_nobody():
+    """Guards latency targets against a round trip for each request.
+
+    Also right after the start, and where the quota is small.
+    """
+    small = core.Tenant(TENANT.name, frozenset(), rate=0.2, burst=2.0)
+    for tenant in (TENANT, small):
+        bucket, now = core.make_bucket(tenant, BOUNDS, 1.0, 0.0), 0.0
+        for _ in range(20):
+            now += 1.0 / (0.6 * tenant.rate)
+            decision = core.take_tokens(
+                bucket, tenant, BOUNDS, 1.0, False, 1.0, now
+            )
+            assert not decision.limited_for
