Add a command that explains where a request would go now

The front node answers it on its metrics address. The functions that decide for requests run on a copy of the node's state, so that nothing is sent and nothing changes. A property test over drawn states isn't written.

--- a/citronweir/listeners/_text.py
+++ b/citronweir/listeners/_text.py
@@ -11,16 +11,23 @@
 SHUTDOWN_TIMEOUT = 0.2
 
 TextHandler = abc.Callable[[], tuple[int, bytes]]
+QueryHandler = abc.Callable[
+    [abc.Mapping[str, str], abc.Mapping[str, str]], tuple[int, bytes]
+]
 
 
 async def start_text_server(
-    address: core.Address, handlers: abc.Mapping[str, TextHandler]
+    address: core.Address,
+    handlers: abc.Mapping[str, TextHandler],
+    query_handlers: abc.Mapping[str, QueryHandler] | None = None,
 ) -> web.ServerRunner:
     """Starts a server of texts.
 
     Args:
         address: Address to listen on.
         handlers: For each path, the function that returns status and body.
+        query_handlers: The same for paths whose answer depends on the query
+            and the headers of the request.
 
     Returns:
         The runner; its ``cleanup`` stops the server.
@@ -31,9 +38,13 @@
 
     async def handle(request):
         handler = handlers.get(request.path)
-        if handler is None:
+        query_handler = (query_handlers or {}).get(request.path)
+        if handler is not None:
+            status, body = handler()
+        elif query_handler is not None:
+            status, body = query_handler(request.query, request.headers)
+        else:
             return web.Response(status=404)
-        status, body = handler()
         return web.Response(status=status, body=body)
 
     server = web.Server(handle, access_log=None)
--- a/citronweir/platform/__init__.py
+++ b/citronweir/platform/__init__.py
@@ -16,6 +16,7 @@
 from citronweir.platform._ingress import Ingress
 from citronweir.platform._ingress import RequestHandler
 from citronweir.platform._ingress import start_ingress
+from citronweir.platform._keys import read_credential
 from citronweir.platform._readiness import start_readiness
 from citronweir.platform._replicas import decode_notice
 from citronweir.platform._replicas import decode_reply
--- a/citronweir/platform/_keys.py
+++ b/citronweir/platform/_keys.py
@@ -1,10 +1,12 @@
 """Replaces API keys by digests, so that nodes neither hold nor send keys."""
 
+from collections import abc
 import hashlib
 import json
 import re
 
 from citronweir import core
+from citronweir.platform import _names as names
 
 # Separates these digests from other uses of the hash. All nodes need the same
 # digest of a key, since the owner of a group checks it again.
@@ -40,6 +42,14 @@
     return digest_key(match[1].encode('latin-1'))
 
 
+def read_credential(
+    headers: abc.Mapping[str, str],
+) -> core.KeyDigest | core.InvalidKey | None:
+    """Decodes the API key among the headers of a request, if there is one."""
+    value = headers.get(names.AUTHORIZATION)
+    return decode_credential([] if value is None else [value])
+
+
 def redact_keys(text: str) -> str:
     """Replaces the API keys in a configuration by their digests.
 
--- a/citronweir/programs/_compose_front.py
+++ b/citronweir/programs/_compose_front.py
@@ -107,6 +107,7 @@
     metrics = await listeners.start_text_server(
         core.Address(boot.host, platform.METRICS_PORT),
         {'/metrics': lambda: (200, _render_metrics(ctx))},
+        {'/explain': functools.partial(_answer_query, ctx)},
     )
     quota_deps = tenants.make_quota_dependencies(ctx)
     request_deps = requests.make_request_dependencies(ctx, quota_deps)
@@ -208,6 +209,13 @@
     await service.run_watch(config_deps, ctx.config)
 
 
+def _answer_query(ctx, query, headers):
+    # Operators ask rarely, and a front node is spared the import until then.
+    from citronweir.programs import _front_explain as explaining
+
+    return explaining.answer_query(ctx, query, headers)
+
+
 def _is_ready(ctx):
     return (
         ctx.catalogue.index is not None
--- a/citronweir/programs/_front_tenants.py
+++ b/citronweir/programs/_front_tenants.py
@@ -72,7 +72,7 @@
         rng=ctx.rng,
         own=ctx.own,
         find_tenant=find_tenant,
-        list_keepers=lambda name: _list_keepers(ctx, name),
+        list_keepers=lambda name: list_keepers(ctx, name),
         count_dcs=lambda: max(1, len(ctx.boot.regions)),
         count_nodes=lambda: ctx.extra.nodes,
         is_confirmed=lambda: _is_recently_confirmed(ctx),
@@ -103,7 +103,10 @@
     return find_key_list_state(ctx).age < MAX_GRANT_AGE
 
 
-def _list_keepers(ctx, name):
+def list_keepers(
+    ctx: contexts.FrontContext, name: core.TenantName
+) -> list[core.ListedNode]:
+    """Lists the nodes that may keep a quota, the preferred one first."""
     by_id = {
         node.node_id: node
         for node in core.list_others(ctx.catalogue.nodes, ctx.own.node_id)
--- a/citronweir/service/__init__.py
+++ b/citronweir/service/__init__.py
@@ -55,6 +55,7 @@
 from citronweir.service._registration import RegistryDependencies
 from citronweir.service._registration import run_registration
 from citronweir.service._requests import end_requests
+from citronweir.service._requests import find_refusal
 from citronweir.service._requests import run_group
 from citronweir.service._requests import run_request
 from citronweir.service._search import run_search
--- a/citronweir/service/_requests.py
+++ b/citronweir/service/_requests.py
@@ -155,6 +155,25 @@
     return core.GroupAnswer(outcome, deps.now() - started, missing_positions)
 
 
+def find_refusal(
+    deps: attempts.RequestDependencies,
+    index: core.RouteIndex,
+    route: core.Route,
+    budget: float,
+) -> core.Declined | None:
+    """Returns the refusal of a request that cannot be served now, or None.
+
+    Args:
+        deps: Dependencies of request handling.
+        index: Index of the route table in force.
+        route: Route of the request, with the rank and homes of its tenant.
+        budget: Seconds that the caller waits.
+    """
+    service_groups = _group_services(deps, index, route)
+    left = min(budget, route.timeout)
+    return _find_refusal(deps, route, service_groups, left)
+
+
 def end_requests(deps: attempts.RequestDependencies) -> None:
     """Ends all requests in progress, as their deadlines do.
 
