Split the handling of requests and group queries into admission and run

Cause: run_request and run_group had grown to 59 and 64 lines, with the checks of keys, homes and quotas among them. No change of behaviour: tests of service/, tests/tenants_test.py, front_test.py and stop_test.py pass.

--- a/citronweir/service/_requests.py
+++ b/citronweir/service/_requests.py
@@ -28,6 +28,24 @@
 MIN_HEDGE_GAP = 0.001  # seconds
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Admitted:
+    """A request that may run.
+
+    Attributes:
+        req: Request without the key of its caller.
+        route: Route with the rank and homes of the tenant.
+        suspect_status: Whether the request may crash replicas, or None.
+        budget: Seconds until its deadline.
+    """
+
+    req: core.HttpRequest
+    route: core.Route
+    suspect_status: core.SuspectStatus | None
+    service_groups: list[attempts.ServiceGroup]
+    budget: float
+
+
 async def run_request(
     deps: attempts.RequestDependencies, req: core.HttpRequest
 ) -> core.RequestOutcome:
@@ -50,26 +68,10 @@
     route = core.find_route(index, req.host, req.target)
     if route is None:
         return _report(deps, req, None, core.NoRoute(), started)
-    identified = deps.identify(index, route, req)
-    if not isinstance(identified, core.HttpRequest):
-        return _report(deps, req, route, identified, started)
-    req = identified
-    route = core.apply_tenant(index, route, req.identity)
-    suspect_status = deps.find_suspect_status(req)
-    outcome = _refuse_convicted(suspect_status, started)
-    if outcome is not None:
-        return _report(deps, req, route, outcome, started)
-    budget = min(req.budget, route.timeout)
-    service_groups = _group_services(deps, index, route)
-    outcome = _find_refusal(deps, route, service_groups, budget)
-    stop_at = deps.find_stop()
-    if started + STOP_TARGET_FACTOR * route.target > stop_at:
-        stopping = core.NotRunReason.STOPPING
-        outcome = core.Declined(stopping, RETRY_AFTER_STOP)
-    if outcome is None and req.identity is not None:
-        outcome = await deps.admit_tenant(req.identity.tenant)
-    if outcome is not None:
-        return _report(deps, req, route, outcome, started)
+    admitted = await _admit(deps, index, route, req, started)
+    if not isinstance(admitted, _Admitted):
+        return _report(deps, req, route, admitted, started)
+    req, route = admitted.req, admitted.route
     request = attempts.Request(
         deps,
         req,
@@ -77,13 +79,13 @@
         index.table.version,
         started,
         _find_due(deps, started + route.target, req),
-        min(started + budget - DEADLINE_MARGIN, stop_at),
+        min(started + admitted.budget - DEADLINE_MARGIN, deps.find_stop()),
         asyncio.get_running_loop().create_future(),
-        service_groups,
+        admitted.service_groups,
         _check_completion,
-        serial=serial_attempts.make_serial_state(suspect_status),
+        serial=serial_attempts.make_serial_state(admitted.suspect_status),
     )
-    outcome = await _run(request, suspect_status)
+    outcome = await _run(request, admitted.suspect_status)
     if req.identity is not None and _has_not_run(outcome):
         deps.return_token(req.identity.tenant)
     return _report(deps, req, route, outcome, started, request)
@@ -106,17 +108,9 @@
         Declined if this node has another configuration version.
     """
     started = deps.now()
-    index = deps.find_index()
-    full_route = _find_group_route(index, query)
-    if full_route is None:
-        reason = core.NotRunReason.NO_CONFIGURATION
-        return core.GroupAnswer(core.Declined(reason, 0.0), 0.0)
-    identity = query.req.identity
-    if identity is not None:
-        refusal = deps.find_key_refusal(identity)
-        if refusal is not None:
-            return core.GroupAnswer(core.Declined(refusal, 0.0), 0.0)
-        full_route = core.apply_tenant(index, full_route, identity)
+    full_route = _find_group_route(deps, query)
+    if isinstance(full_route, core.NotRunReason):
+        return core.GroupAnswer(core.Declined(full_route, 0.0), 0.0)
     suspect_status = deps.find_suspect_status(query.req)
     outcome = _refuse_convicted(suspect_status, started)
     if outcome is not None:
@@ -198,19 +192,55 @@
     return core.Declined(core.NotRunReason.QUARANTINED, left)
 
 
+async def _admit(deps, index, route, req, started):
+    """Returns the request as admitted, or the outcome that refuses it.
+
+    A token of the tenant's quota is taken last, so that a refusal costs none.
+    """
+    identified = deps.identify(index, route, req)
+    if not isinstance(identified, core.HttpRequest):
+        return identified
+    req = identified
+    route = core.apply_tenant(index, route, req.identity)
+    suspect_status = deps.find_suspect_status(req)
+    outcome = _refuse_convicted(suspect_status, started)
+    if outcome is not None:
+        return outcome
+    budget = min(req.budget, route.timeout)
+    service_groups = _group_services(deps, index, route)
+    outcome = _find_refusal(deps, route, service_groups, budget)
+    if started + STOP_TARGET_FACTOR * route.target > deps.find_stop():
+        stopping = core.NotRunReason.STOPPING
+        outcome = core.Declined(stopping, RETRY_AFTER_STOP)
+    if outcome is None and req.identity is not None:
+        outcome = await deps.admit_tenant(req.identity.tenant)
+    if outcome is not None:
+        return outcome
+    return _Admitted(req, route, suspect_status, service_groups, budget)
+
+
 def _has_not_run(outcome):
     return isinstance(outcome, core.Declined | core.Unauthorised)
 
 
-def _find_group_route(index, query):
+def _find_group_route(deps, query):
+    """Returns the route of a group query, or why it must not run here."""
+    index = deps.find_index()
     if index is None or index.table.version != query.version:
-        return None
-    for route in index.table.routes:
-        if route.name == query.route and route.shards:
-            if max(query.shard_positions, default=0) >= len(route.shards):
-                return None
-            return route
-    return None
+        return core.NotRunReason.NO_CONFIGURATION
+    routes = [
+        route
+        for route in index.table.routes
+        if route.name == query.route and route.shards
+    ]
+    last_position = max(query.shard_positions, default=0)
+    if not routes or last_position >= len(routes[0].shards):
+        return core.NotRunReason.NO_CONFIGURATION
+    identity = query.req.identity
+    if identity is None:
+        return routes[0]
+    refusal = deps.find_key_refusal(identity)
+    return refusal or core.apply_tenant(index, routes[0], identity)
 
 
 def _group_services(deps, index, route):
--- a/citronweir/telemetry/_events.py
+++ b/citronweir/telemetry/_events.py
@@ -94,6 +94,12 @@
         'configuration version {version}',
         'Compare the time with the versions that added or removed keys.',
     )
+    TENANT_LIMITED = EventSpec(
+        1111,
+        'INFO',
+        'tenant {tenant} is near its quota; all nodes ask for a token before '
+        'each of its requests for {seconds} s',
+    )
     GROUP_PARTIAL = EventSpec(
         1108,
         'INFO',
@@ -192,12 +198,6 @@
         '{detail}',
     )
 
-    TENANT_LIMITED = EventSpec(
-        1111,
-        'INFO',
-        'tenant {tenant} is near its quota; all nodes ask for a token before '
-        'each of its requests for {seconds} s',
-    )
     EVACUATION_STARTED = EventSpec(
         3017,
         'INFO',
@@ -211,15 +211,6 @@
         '{revision} on',
     )
 
-    ROUTES_OUTDATED = EventSpec(
-        5011,
-        'WARNING',
-        'configuration version {version} at revision {revision} is older '
-        'than version {current} in force and was not applied',
-        'The store may have returned from a copy: write the configuration '
-        'again.',
-    )
-
     REQUESTS_MOVED = EventSpec(
         3013,
         'INFO',
@@ -361,6 +352,14 @@
         'configuration version {version} with {routes} routes active at '
         'revision {revision}',
     )
+    ROUTES_OUTDATED = EventSpec(
+        5011,
+        'WARNING',
+        'configuration version {version} at revision {revision} is older '
+        'than version {current} in force and was not applied',
+        'The store may have returned from a copy: write the configuration '
+        'again.',
+    )
     CHANGE_ACCEPTED = EventSpec(
         5004,
         'INFO',
