Ignore the reload signal until the node handles it

The front program now ignores the signal from its first statement.

In the milliseconds before the interpreter reaches the first statement the signal still ends it.

--- a/citronweir/programs/front.py
+++ b/citronweir/programs/front.py
@@ -1,9 +1,15 @@
 """citronweir-front: one node of the query tier on the users' platform."""
 
-import asyncio
 import os
-import pathlib
-import sys
+import signal
+
+# Until the node handles it, a reload must not end the process, which is the
+# default action. Importing the modules takes seconds on a busy machine.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import asyncio  # noqa: E402
+import pathlib  # noqa: E402
+import sys  # noqa: E402
 
 # All connections use plain HTTP. By default, aiohttp loads the machine's
 # certificates on import, which takes 60 ms of CPU time at each start.
--- a/tests/front_test.py
+++ b/tests/front_test.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import pathlib
+import re
 import signal
 
 import aiohttp
@@ -362,3 +364,29 @@
         return (await fleets.send_request(fleet, name, path))[0] == 200
     except aiohttp.ClientError:
         return False
+
+
+def _ignores_reload(pid):
+    text = pathlib.Path(f'/proc/{pid}/status').read_text()
+    (mask,) = re.findall(r'^SigIgn:\s*(\w+)', text, re.M)
+    return bool(int(mask, 16) & 1 << signal.SIGHUP - 1)
+
+
+async def test_reload_signal_during_the_start_does_not_end_the_node(tmp_path):
+    """Guards against processes that end by themselves on a busy machine.
+
+    Soak seed 9119 with --tenants: SIGHUP came while the modules were being
+    imported, and its default action is to end the process.
+    """
+    async with fleets.run(tmp_path) as fleet:
+        node = fleet.nodes['n1']
+        node.proc.kill()
+        await node.proc.wait()
+        await fleets.start_node(fleet, 'n1')
+        async with asyncio.timeout(fleets.START_TIMEOUT):
+            while not _ignores_reload(node.proc.pid):
+                await asyncio.sleep(0.002)
+        while not await fleets.is_ready(fleet, 'n1'):
+            node.proc.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.02)
+        assert node.proc.returncode is None
