Announce what a full read of the store has found

Cause: after the store had dropped its history, the watchers read it in full and told nobody; the other nodes could not follow the next batches of the watch and learned the listing from random peers. The watchers now announce the records beyond their former revision.

--- a/citronweir/service/_config.py
+++ b/citronweir/service/_config.py
@@ -316,8 +316,10 @@
     """
     is_fresh = config_age(deps, config) < MAX_RESUME_AGE
     if not (config.is_resumable and is_fresh):
+        previous = config.state.complete_to
         if not await _load_from_store(deps, config, RecordSource.STORE):
             return False
+        _announce_newer(deps, config, previous)
     position = config.state.complete_to
     telemetry.log(telemetry.Event.WATCH_STARTED, revision=position)
     received = False
@@ -345,6 +347,22 @@
     return received
 
 
+def _announce_newer(deps, config, since):
+    """Announces what a full read has found beyond a revision.
+
+    Nodes that miss it can't follow the next batches of the watch, and would
+    learn from random peers only, which takes several seconds.
+    """
+    while since:
+        batch = core.collect_newer_records(config.state, since)
+        deps.announce(
+            dataclasses.replace(batch, confirmed_boot=config.confirmed_boot)
+        )
+        if not batch.more:
+            return
+        since = core.next_since(batch)
+
+
 async def compact_config(
     deps: ConfigDependencies, config: Configuration
 ) -> None:
