Give a caller the idle timeout to read an answer, and document the limits

Cause: the guard of the callers' port used the time for heads, 3 s, for answers that are not read as well. Such answers are larger than 64 KB; none of the platform's are. Measured: tests of listeners, callers and platform pass.

--- a/citronweir/listeners/_guard.py
+++ b/citronweir/listeners/_guard.py
@@ -34,10 +34,12 @@
         max_body_bytes: Maximum size of a request body.
         max_conns: Maximum number of open connections. Above it, the oldest
             connection without a complete request is closed.
-        read_timeout: Seconds allowed for each of the head of a request, its
-            body, and a reply that the client does not read.
+        read_timeout: Seconds allowed for each of the head of a request and
+            its body.
         max_head_bytes: Maximum size of the head of a request, and of empty
             lines before it.
+        reply_timeout: Seconds that a client may block a reply;
+            ``read_timeout`` if None.
         first_byte_timeout: Seconds that a new connection may stay without a
             request; ``read_timeout`` if None.
     """
@@ -46,6 +48,7 @@
     max_conns: int
     read_timeout: float
     max_head_bytes: int = 65536
+    reply_timeout: float | None = None
     first_byte_timeout: float | None = None
 
 
@@ -143,7 +146,8 @@
     def pause_writing(self):
         """Starts the time limit of a reply that the client does not read."""
         if self.timer is None:
-            _start_timer(self, 'reply not read')
+            timeout = self.guards.limits.reply_timeout
+            _start_timer(self, 'reply not read', timeout)
         self.handler.pause_writing()
 
     def resume_writing(self):
--- a/citronweir/platform/_ingress.py
+++ b/citronweir/platform/_ingress.py
@@ -229,9 +229,10 @@
         max_conns,
         limits.header_timeout,
         limits.header_bytes,
+        reply_timeout=limits.idle_timeout,
         # Callers may leave a connection idle for the idle timeout, which may
         # change while it is open.
-        KEEP_ALIVE_TIMEOUT,
+        first_byte_timeout=KEEP_ALIVE_TIMEOUT,
     )
 
 
