--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -191,7 +191,7 @@
 
 async def _start_replica(fleet, replica):
     async def accept(reader, writer):
-        await _serve(fleet, replica, reader, writer)
+        await serve(fleet, replica, reader, writer)
 
     replica.server = await asyncio.start_server(
         accept, '127.0.0.1', replica.port, backlog=512
@@ -238,7 +238,13 @@
     )
 
 
-async def _serve(fleet, replica, reader, writer):
+async def serve(
+    fleet: Fleet,
+    replica: Replica,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Serves a connection to a replica until it ends."""
     replica.writers.add(writer)
     try:
         while await _serve_request(fleet, replica, reader, writer):
