--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
 """A replica runs an order and fails with a 503 of its own."""
 
 import asyncio
+import collections
 import time
 
 from review import standins_2 as standins
@@ -16,20 +17,20 @@
 
 async def run(has_trouble, record):
     """Runs the case and returns its exit status."""
-    runs, count = [], 0
+    runs, counts = [], collections.Counter()
 
     async def answer(replica, line, headers, body):
-        nonlocal count
         request_id = headers['x-request-id']
         await asyncio.sleep(0.02)
         order = body.decode()
         runs.append((order, request_id, replica.replica_id))
         standins.note(fleet, f'{replica.replica_id} ran {request_id}: {order}')
         headers = standins.signed(replica, request_id)
-        count += 1
+        counts[replica.replica_id] += 1
         # Every second replica fails two of five requests; its health is good.
         is_grey = int(replica.replica_id[2:], 16) % 2 == 0
-        if has_trouble and is_grey and count % 5 < 5 * FAILING_SHARE:
+        turn = counts[replica.replica_id] % 5
+        if has_trouble and is_grey and turn < 5 * FAILING_SHARE:
             return standins.render(FAILURE_STATUS, headers, b'failed')
         return standins.render(200, headers, b'done')
 
