Keep the crash reports that a conviction needs when their table is full

Cause: the first repeat crashes up to two replicas of each shard, and a node kept 32 reports a request and refused new ones. Later repeats left no trace, so no service had crashes of two repeats. Messages to other nodes were cut to 32 reports in the order of arrival, records in the store to 8 that could all be of different services.

Ruled out: the detection of the crashes, which are all logged, and the serial mode, in which each repeat crashed one replica.

Change: the table moves to a module of its own and never refuses a new report. Bounds on the crashes and answers of a request, on all reports and on requests give up what proves least, in an order that all nodes share. Messages send the likely causes first and the requests in turn. A suspect is sent to the service that most of its repeats have met.

It is no matter any more how many shards one repeat crashes: crashes of different repeats at one service are kept and sent before all others.

--- a/citronweir/core/_convictions.py
+++ b/citronweir/core/_convictions.py
@@ -20,6 +20,7 @@
 from citronweir.core import _assignment as assignment
 from citronweir.core import _crash_cause as crash_cause
 from citronweir.core import _crash_reports as crash_reports
+from citronweir.core import _crash_table as crash_table
 from citronweir.core import _data as data
 
 # Bounds on the records in the store. Eight crashes suffice for the longest
@@ -99,7 +100,7 @@
 
 def restore_conviction(
     table: ConvictionTable,
-    reports: crash_reports.CrashReportTable,
+    reports: crash_table.CrashReportTable,
     conviction: Conviction,
     clocks: tuple[float, float],
 ) -> bool:
@@ -134,7 +135,7 @@
 
 def drop_conviction(
     table: ConvictionTable,
-    reports: crash_reports.CrashReportTable,
+    reports: crash_table.CrashReportTable,
     fingerprint: data.Fingerprint,
 ) -> bool:
     """Forgets a record that another node has removed, and its crashes.
@@ -149,7 +150,7 @@
     table.due_at.pop(fingerprint, None)
     if known is None:
         return False
-    crash_reports.drop_crashes(
+    crash_table.drop_crashes(
         reports, fingerprint, [report for report, _ in known.crashes]
     )
     return True
@@ -157,7 +158,7 @@
 
 def choose_write(
     table: ConvictionTable,
-    reports: crash_reports.CrashReportTable,
+    reports: crash_table.CrashReportTable,
     own_id: data.NodeId,
     nodes: abc.Collection[data.NodeId],
     clocks: tuple[float, float],
@@ -283,22 +284,11 @@
 
 
 def _make_conviction(reports, fingerprint, clocks):
-    """Builds a record from the newest crash of each repeat, then others.
-
-    Crashes of several repeats prove more than those of one.
-    """
+    """Builds a record from the crashes that prove the conviction."""
     now, wall_now = clocks
-    crashes = sorted(
-        crash_reports.list_entry_crashes(reports, fingerprint, now),
-        key=lambda crash: crash[1],
-        reverse=True,
-    )
-    newest = {}
-    for report, at in crashes:
-        newest.setdefault(report.request_id, (report, at))
-    first = list(newest.values())
-    others = [crash for crash in crashes if crash not in first]
-    chosen = (first + others)[:MAX_RECORD_CRASHES]
+    chosen = crash_cause.rank_crashes(
+        crash_table.list_entry_crashes(reports, fingerprint, now)
+    )[:MAX_RECORD_CRASHES]
     return Conviction(
         fingerprint,
         tuple(
--- a/citronweir/core/_crash_cause.py
+++ b/citronweir/core/_crash_cause.py
@@ -90,55 +90,104 @@
 
 # A report and the monotonic time of its observation, in seconds.
 TimedReport = tuple[ReplicaReport, float]
-ReportTimes = abc.Mapping[ReplicaReport, float]
-
-
-def find_last_answers(
-    reports: ReportTimes, caller: data.CallerId | None
-) -> dict[data.ServiceName, float]:
-    """Finds the time of each service's last answer to a caller or to any."""
-    answered = {}
-    for report, at in reports.items():
-        if report.kind is ReportKind.ANSWERED:
-            if caller is None or report.caller == caller:
-                known = answered.get(report.service, at)
-                answered[report.service] = max(known, at)
-    return answered
+CrashTimes = abc.Mapping[ReplicaReport, float]
+# Time of the last answer of each service to each caller.
+AnswerKey = tuple[data.CallerId, data.ServiceName]
+AnswerTimes = abc.Mapping[AnswerKey, float]
 
 
 def list_crashes(
-    reports: ReportTimes, caller: data.CallerId | None, now: float
+    crashes: CrashTimes,
+    answers: AnswerTimes,
+    caller: data.CallerId | None,
+    now: float,
 ) -> list[TimedReport]:
     """Lists crashes since the last answer, of one caller or of all.
 
     For all callers (None), an answer to any of them counts.
     """
-    answered = find_last_answers(reports, caller)
+    answered = {}
+    for (answered_caller, service), at in answers.items():
+        if caller is None or answered_caller == caller:
+            answered[service] = max(at, answered.get(service, at))
     return [
         (report, at)
-        for report, at in reports.items()
-        if report.kind is ReportKind.ENDED
-        and (caller is None or report.caller == caller)
+        for report, at in crashes.items()
+        if (caller is None or report.caller == caller)
         and at > answered.get(report.service, float('-inf'))
         and now - at <= REPORT_LIFETIME
     ]
 
 
+def is_counted(report: ReplicaReport, at: float, answers: AnswerTimes) -> bool:
+    """Returns whether no later answer to the same caller cancels a crash."""
+    answered_at = answers.get((report.caller, report.service))
+    return answered_at is None or at > answered_at
+
+
 def list_counted_crashes(
-    reports: ReportTimes, now: float
+    crashes: CrashTimes, answers: AnswerTimes, now: float
 ) -> list[TimedReport]:
     """Lists each caller's crashes since its own last answer."""
-    callers = {report.caller for report in reports}
     return [
-        crash
-        for caller in callers
-        for crash in list_crashes(reports, caller, now)
+        (report, at)
+        for report, at in crashes.items()
+        if now - at <= REPORT_LIFETIME and is_counted(report, at, answers)
     ]
 
 
+def rank_crashes(crashes: abc.Iterable[TimedReport]) -> list[TimedReport]:
+    """Orders crashes by what they contribute to a conviction.
+
+    A request to many shards can crash a replica of each at once, while a
+    conviction needs crashes of several requests at one service. Wherever only
+    some crashes can be kept or sent, the first ones of this order prove as
+    much as all of them:
+
+    - one crash of each of MIN_REQUESTS requests at the service that most
+      requests share,
+    - one crash of each other request, the newest first,
+    - the others, of each request in the same order of services. Tables that
+      keep only some of them still find the crashes that requests share.
+    """
+    crashes = list(crashes)
+    requests = {}
+    for report, _ in crashes:
+        requests.setdefault(report.service, set()).add(report.request_id)
+    crashes.sort(
+        key=lambda crash: (
+            -len(requests[crash[0].service]),
+            crash[0].service,
+            crash[0].replica_id,
+        )
+    )
+    positions, keyed = {}, []
+    for report, at in crashes:
+        position = positions[report.request_id] = (
+            positions.get(report.request_id, -1) + 1
+        )
+        keyed.append((position, -at, (report, at)))
+    keyed.sort(key=lambda item: item[:2])
+    ranked = [crash for _, _, crash in keyed]
+    proof = [
+        crash
+        for position, _, crash in keyed
+        if position == 0 and crash[0].service == crashes[0][0].service
+    ][:MIN_REQUESTS]
+    return proof + [crash for crash in ranked if crash not in proof]
+
+
+def list_services(
+    crashes: abc.Iterable[TimedReport],
+) -> tuple[data.ServiceName, ...]:
+    """Lists the services of crashes, in the order of ``rank_crashes``."""
+    ranked = rank_crashes(crashes)
+    return tuple(dict.fromkeys(report.service for report, _ in ranked))
+
+
 def is_cause(
     crashes: abc.Sequence[TimedReport],
-    others: abc.Iterable[abc.Sequence[TimedReport]],
+    list_others: abc.Callable[[], list[list[TimedReport]]],
     now: float,
 ) -> bool:
     """Returns whether a request is the cause of its crashes.
@@ -148,15 +197,18 @@
 
     Args:
         crashes: Crashes of the request since its last answer.
-        others: The same for each other request at the same replicas.
+        list_others: Lists the same for each other request at the same
+            replicas.
         now: Monotonic clock, seconds.
     """
     if not has_enough_crashes(crashes, now):
         return False
     if count_requests(crashes) >= MAX_UNANSWERED_REPEATS:
         return True
-    candidates = [other for other in others if _list_shared(crashes, (other,))]
-    shared = _list_shared(crashes, candidates)
+    candidates = [
+        other for other in list_others() if _list_shared(crashes, (other,))
+    ]
+    shared = set(_list_shared(crashes, candidates))
     unshared = [crash for crash in crashes if crash not in shared]
     max_requests = count_requests(crashes) - MIN_LEAD
     min_unshared = MIN_CRASHES
--- a/citronweir/core/_crash_reports.py
+++ b/citronweir/core/_crash_reports.py
@@ -17,57 +17,16 @@
 
 from citronweir.core import _assignment as assignment
 from citronweir.core import _crash_cause as crash_cause
+from citronweir.core import _crash_table as crash_table
 from citronweir.core import _data as data
 
-# A lost request is kept this long even without crash reports, so that answers
-# to it are recorded: whether its replica crashed is known only a moment later.
-LOST_REQUEST_TIME = 5.0  # seconds
 # Minimum time between two repeats, at one node, of a suspect with enough
 # crashes for a conviction. All nodes know of a crash and count it within this
 # time.
 SUSPECT_INTERVAL = 0.5  # seconds
-# Together these bound the table to 15 MB, of the 64 MB that a node may use for
-# control.
-MAX_ENTRIES = 1000
-MAX_REPORTS = 32  # for each entry
-
-
-@dataclasses.dataclass(slots=True)
-class RequestEntry:
-    """Reports about requests with one fingerprint.
-
-    Attributes:
-        reports: Reports and the monotonic second of each.
-        kept_until: Monotonic second until which the entry is kept even if
-            no crash counts.
-        last_sent_at: Monotonic second at which the request last went
-            through as a throttled suspect or as a trial.
-        convicted: Callers for which the request is the cause of crashes.
-    """
-
-    reports: dict[crash_cause.ReplicaReport, float] = dataclasses.field(
-        default_factory=dict
-    )
-    kept_until: float = 0.0
-    last_sent_at: float = float('-inf')
-    convicted: set[data.CallerId] = dataclasses.field(default_factory=set)
-
-
-@dataclasses.dataclass(slots=True)
-class CrashReportTable:
-    """Crash reports and answers that a node knows, by request.
-
-    Attributes:
-        fingerprints_by_replica: Requests that were running at each replica
-            when it crashed.
-    """
-
-    entries: dict[data.Fingerprint, RequestEntry] = dataclasses.field(
-        default_factory=dict
-    )
-    fingerprints_by_replica: dict[data.ReplicaId, set[data.Fingerprint]] = (
-        dataclasses.field(default_factory=dict)
-    )
+# Crashes of one request in a message, while other requests wait for room in
+# it. They suffice for a conviction.
+REQUEST_SHARE = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,7 +38,7 @@
         retry_at: Monotonic second from which a convicted request may be
             tried again.
         services: Services whose replicas crashed and have not answered
-            since.
+            since, those that most repeats have met first.
         is_conviction_pending: Whether there are enough crashes for a
             conviction, though reports may be missing yet or other requests
             share the crashes.
@@ -87,7 +46,7 @@
 
     state: data.SuspectState
     retry_at: float
-    services: frozenset[data.ServiceName]
+    services: tuple[data.ServiceName, ...]
     is_conviction_pending: bool = False
 
 
@@ -100,69 +59,8 @@
     return data.Fingerprint(digest.hexdigest())
 
 
-def record_lost_request(
-    table: CrashReportTable, fingerprint: data.Fingerprint, now: float
-) -> None:
-    """Keeps an entry for a request whose replica may have crashed.
-
-    Args:
-        table: Reports of the node.
-        fingerprint: Fingerprint of the lost request.
-        now: Monotonic clock, seconds.
-    """
-    _find_or_add_entry(table, fingerprint, now)
-
-
-def merge_report(
-    table: CrashReportTable,
-    report: crash_cause.ReplicaReport,
-    at: float,
-    now: float,
-) -> bool:
-    """Merges a report of this or another node.
-
-    Args:
-        table: Reports of the node.
-        report: Crash or answer.
-        at: Monotonic second of the crash or answer.
-        now: Monotonic clock, seconds.
-
-    Returns:
-        Whether the report adds or cancels a crash, so that other nodes
-        need it.
-    """
-    if now - at > crash_cause.REPORT_LIFETIME:
-        return False
-    if report.kind is crash_cause.ReportKind.ANSWERED:
-        return _merge_answer(table, report, at)
-    entry = _find_or_add_entry(table, report.fingerprint, now)
-    if report in entry.reports:
-        return False
-    if len(entry.reports) >= MAX_REPORTS:
-        _drop_stale_crashes(entry, now)
-        if len(entry.reports) >= MAX_REPORTS:
-            return False
-    entry.reports[report] = at
-    fingerprints = table.fingerprints_by_replica.setdefault(
-        report.replica_id, set()
-    )
-    fingerprints.add(report.fingerprint)
-    return is_crash_counted(table, report)
-
-
-def is_crash_counted(
-    table: CrashReportTable, report: crash_cause.ReplicaReport
-) -> bool:
-    """Returns whether a crash is known and no later answer cancels it."""
-    entry = table.entries.get(report.fingerprint)
-    if entry is None or report not in entry.reports:
-        return False
-    answered = crash_cause.find_last_answers(entry.reports, report.caller)
-    return entry.reports[report] > answered.get(report.service, float('-inf'))
-
-
 def classify_request(
-    table: CrashReportTable,
+    table: crash_table.CrashReportTable,
     fingerprint: data.Fingerprint,
     caller: data.CallerId,
     now: float,
@@ -185,16 +83,20 @@
     entry = table.entries.get(fingerprint)
     if entry is None:
         return None
-    own_crashes = crash_cause.list_crashes(entry.reports, caller, now)
-    all_crashes = crash_cause.list_crashes(entry.reports, None, now)
+    own_crashes = _list_crashes(entry, caller, now)
+    all_crashes = _list_crashes(entry, None, now)
     crashes = own_crashes or all_crashes
     if not crashes:
         entry.convicted.discard(caller)
         return None
     callers = {report.caller for report, _ in all_crashes}
-    candidates = _list_candidates(table, fingerprint, crashes, now)
-    is_cause = crash_cause.is_cause(own_crashes, candidates, now) or (
-        len(callers) > 1 and crash_cause.is_cause(all_crashes, candidates, now)
+
+    def list_candidates():
+        return _list_candidates(table, fingerprint, crashes, now)
+
+    is_cause = crash_cause.is_cause(own_crashes, list_candidates, now) or (
+        len(callers) > 1
+        and crash_cause.is_cause(all_crashes, list_candidates, now)
     )
     if is_cause:
         entry.convicted.add(caller)
@@ -206,13 +108,15 @@
     return SuspectStatus(
         state,
         max(at for _, at in crashes) + crash_cause.find_trial_delay(crashes),
-        frozenset(report.service for report, _ in crashes),
+        crash_cause.list_services(crashes),
         len(crashes) >= crash_cause.MIN_CRASHES,
     )
 
 
 def throttle_suspect(
-    table: CrashReportTable, fingerprint: data.Fingerprint, now: float
+    table: crash_table.CrashReportTable,
+    fingerprint: data.Fingerprint,
+    now: float,
 ) -> float:
     """Limits the rate of a suspect whose conviction is pending.
 
@@ -236,7 +140,7 @@
 
 
 def start_trial(
-    table: CrashReportTable,
+    table: crash_table.CrashReportTable,
     fingerprint: data.Fingerprint,
     own_id: data.NodeId,
     nodes: abc.Iterable[data.NodeId],
@@ -262,7 +166,7 @@
 
 
 def is_convicted(
-    table: CrashReportTable,
+    table: crash_table.CrashReportTable,
     fingerprint: data.Fingerprint,
     caller: data.CallerId,
 ) -> bool:
@@ -272,7 +176,7 @@
 
 
 def is_convicted_for_any(
-    table: CrashReportTable, fingerprint: data.Fingerprint
+    table: crash_table.CrashReportTable, fingerprint: data.Fingerprint
 ) -> bool:
     """Returns whether the request was convicted for at least one caller."""
     entry = table.entries.get(fingerprint)
@@ -280,48 +184,46 @@
 
 
 def is_answered(
-    table: CrashReportTable, fingerprint: data.Fingerprint, now: float
+    table: crash_table.CrashReportTable,
+    fingerprint: data.Fingerprint,
+    now: float,
 ) -> bool:
     """Returns whether a replica answered the request after its crashes."""
     entry = table.entries.get(fingerprint)
     return (
         entry is not None
-        and bool(crash_cause.find_last_answers(entry.reports, None))
-        and not crash_cause.list_counted_crashes(entry.reports, now)
+        and bool(entry.answers)
+        and not crash_table.list_entry_crashes(table, fingerprint, now)
     )
 
 
-def list_proven(table: CrashReportTable, now: float) -> list[data.Fingerprint]:
+def list_proven(
+    table: crash_table.CrashReportTable, now: float
+) -> list[data.Fingerprint]:
     """Lists the requests with enough crashes for a conviction."""
     return [
         fingerprint
         for fingerprint, entry in table.entries.items()
-        if len(entry.reports) >= crash_cause.MIN_CRASHES
+        if len(entry.crashes) >= crash_cause.MIN_CRASHES
         and crash_cause.has_enough_crashes(
-            crash_cause.list_counted_crashes(entry.reports, now), now
+            crash_table.list_entry_crashes(table, fingerprint, now), now
         )
     ]
 
 
-def list_entry_crashes(
-    table: CrashReportTable, fingerprint: data.Fingerprint, now: float
-) -> list[crash_cause.TimedReport]:
-    """Lists the crashes of a request that no later answer cancels."""
-    entry = table.entries[fingerprint]
-    return crash_cause.list_counted_crashes(entry.reports, now)
-
-
 def classify_all_callers(
-    table: CrashReportTable, fingerprint: data.Fingerprint, now: float
+    table: crash_table.CrashReportTable,
+    fingerprint: data.Fingerprint,
+    now: float,
 ) -> None:
     """Classifies a request for each caller whose repeats met crashes."""
-    crashes = list_entry_crashes(table, fingerprint, now)
+    crashes = crash_table.list_entry_crashes(table, fingerprint, now)
     for caller in {report.caller for report, _ in crashes}:
         classify_request(table, fingerprint, caller, now)
 
 
 def restore_crashes(
-    table: CrashReportTable,
+    table: crash_table.CrashReportTable,
     fingerprint: data.Fingerprint,
     crashes: abc.Iterable[crash_cause.TimedReport],
     now: float,
@@ -342,8 +244,8 @@
     counted = [
         report
         for report, at in crashes
-        if merge_report(table, report, at, now)
-        or is_crash_counted(table, report)
+        if crash_table.merge_report(table, report, at, now)
+        or crash_table.is_crash_counted(table, report)
     ]
     if not counted:
         return
@@ -353,135 +255,121 @@
         entry.last_sent_at = max(entry.last_sent_at, now)
 
 
-def drop_crashes(
-    table: CrashReportTable,
-    fingerprint: data.Fingerprint,
-    reports: abc.Iterable[crash_cause.ReplicaReport],
-) -> None:
-    """Drops crashes that no longer count on any node."""
-    entry = table.entries.get(fingerprint)
-    if entry is None:
-        return
-    for report in reports:
-        entry.reports.pop(report, None)
-    entry.convicted.intersection_update(
-        report.caller for report in entry.reports
+def list_reports(
+    table: crash_table.CrashReportTable, limit: int, now: float
+) -> list[crash_cause.TimedReport]:
+    """Lists the reports to send to another node, with their seconds.
+
+    Crashes before the last answer are left out. Each message starts at
+    another request, so that all of them are sent in turn however many there
+    are.
+
+    Args:
+        table: Reports of the node.
+        limit: Maximum number of reports.
+        now: Monotonic clock, seconds.
+    """
+    crashes = {
+        fingerprint: found
+        for fingerprint in table.entries
+        if (found := crash_table.list_entry_crashes(table, fingerprint, now))
+    }
+    start = table.next_listed % max(1, len(crashes))
+    fingerprints = list(crashes)
+    fingerprints = fingerprints[start:] + fingerprints[:start]
+    reports, first_count = [], 0
+    for fingerprint in fingerprints:
+        ranked = crash_cause.rank_crashes(crashes[fingerprint])
+        reports += _add_answers(table, ranked[:REQUEST_SHARE])
+        first_count += len(reports) <= limit
+    table.next_listed = start + max(1, first_count)
+    others = itertools.chain.from_iterable(
+        _add_answers(
+            table, crash_cause.rank_crashes(crashes[item])[REQUEST_SHARE:]
+        )
+        for item in fingerprints
     )
+    chosen = dict.fromkeys(itertools.chain(reports, others))
+    return list(itertools.islice(chosen, limit))
 
 
-def list_reports(
-    table: CrashReportTable, limit: int, now: float
-) -> list[tuple[crash_cause.ReplicaReport, float]]:
-    """Lists the reports to send to another node, with their seconds.
+def choose_reports(
+    table: crash_table.CrashReportTable,
+    reports: abc.Iterable[crash_cause.TimedReport],
+    limit: int,
+    now: float,
+) -> list[crash_cause.TimedReport]:
+    """Chooses which of the latest reports to send to other nodes next.
 
-    Crashes before the last answer are left out. Reports about convicted
-    requests come first, then those about requests with the latest crashes.
+    Answers come first: they clear a request. Then come the crashes of the
+    requests with the most crashed repeats, the likely causes.
 
     Args:
         table: Reports of the node.
+        reports: Reports that were not sent yet.
         limit: Maximum number of reports.
         now: Monotonic clock, seconds.
     """
-    listed = []
-    for entry in table.entries.values():
-        crashes = crash_cause.list_counted_crashes(entry.reports, now)
-        if crashes:
-            answers = [
-                (report, at)
-                for report, at in entry.reports.items()
-                if report.kind is crash_cause.ReportKind.ANSWERED
-            ]
-            newest = max(at for _, at in crashes)
-            listed.append((bool(entry.convicted), newest, answers + crashes))
-    listed.sort(key=lambda item: item[:2], reverse=True)
-    reports = itertools.chain.from_iterable(item[2] for item in listed)
-    return list(itertools.islice(reports, limit))
+    answers, crashes = [], {}
+    for report, at in reports:
+        if report.kind is crash_cause.ReportKind.ANSWERED:
+            answers.append((report, at))
+        elif crash_table.is_crash_counted(table, report):
+            crashes.setdefault(report.fingerprint, []).append((report, at))
+    repeats = {
+        fingerprint: crash_cause.count_requests(
+            crash_table.list_entry_crashes(table, fingerprint, now)
+        )
+        for fingerprint in crashes
+    }
+    ranked = [
+        crash_cause.rank_crashes(crashes[fingerprint])
+        for fingerprint in sorted(crashes, key=repeats.get, reverse=True)
+    ]
+    first = [crash for item in ranked for crash in item[:REQUEST_SHARE]]
+    others = [crash for item in ranked for crash in item[REQUEST_SHARE:]]
+    return (answers + first + others)[:limit]
 
 
 def count_states(
-    table: CrashReportTable, now: float
+    table: crash_table.CrashReportTable, now: float
 ) -> abc.Mapping[data.SuspectState, int]:
     """Counts the requests of each state, for metrics."""
     counts = {data.SuspectState.SUSPECT: 0, data.SuspectState.CONVICTED: 0}
-    for entry in table.entries.values():
-        crashes = crash_cause.list_counted_crashes(entry.reports, now)
+    for fingerprint, entry in table.entries.items():
         if entry.convicted:
             counts[data.SuspectState.CONVICTED] += 1
-        elif crashes:
+        elif crash_table.list_entry_crashes(table, fingerprint, now):
             counts[data.SuspectState.SUSPECT] += 1
     return counts
 
 
-def expire_reports(table: CrashReportTable, now: float) -> None:
-    """Drops stale crashes, and entries without any that counts."""
-    for fingerprint, entry in list(table.entries.items()):
-        if crash_cause.list_counted_crashes(entry.reports, now):
-            _drop_stale_crashes(entry, now)
-        elif now >= entry.kept_until:
-            del table.entries[fingerprint]
-    table.fingerprints_by_replica.clear()
-    for fingerprint, entry in table.entries.items():
-        for report in entry.reports:
-            fingerprints = table.fingerprints_by_replica.setdefault(
-                report.replica_id, set()
-            )
-            fingerprints.add(fingerprint)
-
+def _list_crashes(entry, caller, now):
+    return crash_cause.list_crashes(entry.crashes, entry.answers, caller, now)
 
-def _drop_stale_crashes(entry, now):
-    """Drops crashes that have expired or precede an answer."""
-    valid = dict(crash_cause.list_counted_crashes(entry.reports, now))
-    entry.reports = {
-        report: at
-        for report, at in entry.reports.items()
-        if report.kind is crash_cause.ReportKind.ANSWERED or report in valid
-    }
 
+def _add_answers(table, crashes):
+    """Puts the answers of the services and callers of crashes before them.
 
-def _find_or_add_entry(table, fingerprint, now):
-    """Finds or adds an entry and extends the time for which it is kept."""
-    entry = table.entries.get(fingerprint)
-    if entry is None:
-        if len(table.entries) >= MAX_ENTRIES:
-            _evict_entry(table)
-        entry = table.entries[fingerprint] = RequestEntry()
-    entry.kept_until = max(entry.kept_until, now + LOST_REQUEST_TIME)
-    return entry
-
-
-def _evict_entry(table):
-    """Drops the oldest entry that is not convicted, or else the oldest."""
-    for fingerprint, entry in table.entries.items():
-        if not entry.convicted:
-            break
-    else:
-        fingerprint = next(iter(table.entries))
-    del table.entries[fingerprint]
-
-
-def _merge_answer(table, report, at):
-    """Records an answer and returns whether it cancels a crash."""
-    entry = table.entries.get(report.fingerprint)
-    if entry is None:
-        return False
-    known = entry.reports.get(report, float('-inf'))
-    if at <= known:
-        return False
-    if report in entry.reports or len(entry.reports) < MAX_REPORTS:
-        entry.reports[report] = at
-        entry.kept_until = max(entry.kept_until, at + LOST_REQUEST_TIME)
-    return any(
-        other.kind is crash_cause.ReportKind.ENDED
-        and other.service == report.service
-        and known < crashed_at <= at
-        for other, crashed_at in entry.reports.items()
-    )
+    They cancel the earlier crashes that another node knows.
+    """
+    answers = {}
+    for report, _ in crashes:
+        known = table.entries[report.fingerprint].answers
+        at = known.get((report.caller, report.service))
+        if at is not None:
+            answer = crash_cause.ReplicaReport(
+                crash_cause.ReportKind.ANSWERED,
+                report.fingerprint,
+                report.caller,
+                report.service,
+            )
+            answers[answer] = at
+    return [*answers.items(), *crashes]
 
 
 def _list_candidates(table, fingerprint, crashes, now):
     """Lists the crashes of each other request at the same replicas."""
-    if len(crashes) < crash_cause.MIN_CRASHES:
-        return []
     others = set().union(
         *(
             table.fingerprints_by_replica.get(report.replica_id, ())
@@ -489,7 +377,7 @@
         )
     )
     return [
-        crash_cause.list_counted_crashes(table.entries[other].reports, now)
+        crash_table.list_entry_crashes(table, other, now)
         for other in others - {fingerprint}
         if other in table.entries
     ]
--- a/citronweir/core/_crash_reports_test.py
+++ b/citronweir/core/_crash_reports_test.py
@@ -9,7 +9,7 @@
 
 from citronweir import core
 from citronweir.core import _crash_cause as crash_cause
-from citronweir.core import _crash_reports as crash_reports
+from citronweir.core import _crash_table as crash_table
 
 REQ = core.HttpRequest(
     core.RequestId('id'), 'GET', 'a.example', '/a/x?y=1', (), b'', 1.0
@@ -210,9 +210,9 @@
     """
     table = _make_table(*((_make_crash(n), float(n)) for n in range(3)))
     assert _classify(table, 2.0) is CONVICTED
-    for number in range(3 * crash_reports.MAX_ENTRIES):
+    for number in range(3 * crash_table.MAX_ENTRIES):
         core.record_lost_request(table, core.Fingerprint(str(number)), 3.0)
-    assert len(table.entries) == crash_reports.MAX_ENTRIES
+    assert len(table.entries) == crash_table.MAX_ENTRIES
     assert _classify(table, 3.0) is CONVICTED
     core.expire_reports(table, 60.0)
     assert len(table.entries) == 1
@@ -267,6 +267,131 @@
     assert core.classify_request(table, FINGERPRINT, CALLER, now) is None
 
 
+MESSAGE_LIMIT = 32  # reports in a message between nodes
+
+
+class Peers:
+    """Tables of two nodes that exchange messages of limited size."""
+
+    def __init__(self):
+        self.tables = core.CrashReportTable(), core.CrashReportTable()
+
+    def crash(self, table, reports, at):
+        """Reports crashes to one table, and some of them to the other."""
+        timed = [(report, at) for report in reports]
+        for report, _ in timed:
+            core.merge_report(table, report, at, at)
+        (other,) = [item for item in self.tables if item is not table]
+        for report, _ in core.choose_reports(table, timed, MESSAGE_LIMIT, at):
+            core.merge_report(other, report, at, at)
+
+
+def _crash_shards(shards, request, fingerprint=FINGERPRINT):
+    """Lists the crashes of both replicas of each shard."""
+    return [
+        dataclasses.replace(
+            _make_crash(copy, service=f's{shard:03}', request=request),
+            replica_id=core.ReplicaId(f'i{shard}-{copy}'),
+            fingerprint=fingerprint,
+        )
+        for shard in range(shards)
+        for copy in range(2)
+    ]
+
+
+@pytest.mark.parametrize('shards', [33, 40, 100, 135, 490])
+def test_request_that_crashes_many_shards_at_once_is_convicted(shards):
+    """Guards against crashes of one repeat that leave no room for others.
+
+    Each later repeat is sent to a single replica, of the service that the
+    node prefers, and through the nodes in turn.
+    """
+    peers = Peers()
+    peers.crash(peers.tables[0], _crash_shards(shards, 'first'), 1.0)
+    for number in range(4):
+        now = 2.0 + number
+        table = peers.tables[number % 2]
+        suspect_status = core.classify_request(table, FINGERPRINT, CALLER, now)
+        if suspect_status.state is CONVICTED:
+            break
+        report = _make_crash(
+            number, service=suspect_status.services[0], request=f'r{number}'
+        )
+        peers.crash(table, [report], now)
+    assert number <= 1
+    for table in peers.tables:
+        assert _classify(table, 10.0) is CONVICTED
+
+
+def test_harmless_request_to_many_shards_shares_the_crashes():
+    """Guards a request that ran beside a crashing one at many shards.
+
+    It shares all crashes, so the parts of its reports that a node keeps must
+    be those of the crashing request.
+    """
+    harmless, peers = core.Fingerprint('other'), Peers()
+    for number, shards in enumerate((490, 1, 1, 1)):
+        found = _crash_shards(shards, f'r{number}')
+        if number < 2:
+            found += _crash_shards(shards, f'h{number}', harmless)
+        peers.crash(peers.tables[0], found, 2.0 * number)
+    for table in peers.tables:
+        assert _classify(table, 9.0) is CONVICTED
+        status = core.classify_request(table, harmless, CALLER, 9.0)
+        assert status.state is SUSPECT
+
+
+def test_crowd_of_crashed_requests_leaves_a_repeated_one():
+    """Guards a suspect against callers that fill the table.
+
+    They bring about lost requests by leaving, and crashes by sending many
+    requests to replicas that crash.
+    """
+    table = _make_table((_make_crash(0), 1.0), (_make_crash(1), 2.0))
+    for number in range(3 * crash_table.MAX_ENTRIES):
+        other = core.Fingerprint(f'other{number}')
+        core.record_lost_request(table, core.Fingerprint(str(number)), 3.0)
+        for report in _crash_shards(10, f'c{number}', other):
+            core.merge_report(table, report, 3.0, 3.0)
+    assert len(table.entries) <= crash_table.MAX_ENTRIES
+    assert table.report_count <= crash_table.MAX_REPORTS
+    core.merge_report(table, _make_crash(2), 4.0, 4.0)
+    assert _classify(table, 4.0) is CONVICTED
+
+
+def test_reports_of_one_request_are_bounded():
+    """Guards memory against a request that is repeated and answered often."""
+    table = core.CrashReportTable()
+    for number in range(3 * crash_table.MAX_CRASHES):
+        at = number / 10
+        caller = core.CallerId(f'c{number}')
+        core.merge_report(table, _make_crash(number, caller), at, at)
+        core.merge_report(table, _make_answer(caller), at, at)
+    (entry,) = table.entries.values()
+    assert len(entry.crashes) <= crash_table.MAX_CRASHES
+    assert len(entry.answers) <= crash_table.MAX_ANSWERS
+    for number in range(3):
+        at = 400.0 + number
+        core.merge_report(table, _make_crash(f'n{number}'), at, at)
+    assert _classify(table, 403.0) is CONVICTED
+
+
+def test_messages_list_all_requests_in_turn():
+    """Guards a suspect against convicted requests that fill each message."""
+    table = core.CrashReportTable()
+    for number in range(8):
+        found = _crash_shards(40, f'r{number}', core.Fingerprint(str(number)))
+        for report in found:
+            core.merge_report(table, report, 1.0, 1.0)
+    core.merge_report(table, _make_crash(0), 1.0, 1.0)
+    listed = set()
+    for _ in range(4):
+        reports = core.list_reports(table, MESSAGE_LIMIT, 2.0)
+        assert len(reports) == MESSAGE_LIMIT
+        listed |= {report.fingerprint for report, _ in reports}
+    assert FINGERPRINT in listed
+
+
 REPORTS = st.lists(
     st.tuples(
         st.one_of(
--- a/citronweir/programs/_front_crash_reports.py
+++ b/citronweir/programs/_front_crash_reports.py
@@ -17,6 +17,10 @@
 # to one node each second takes 6 KB of the 14 KB a second that a node may
 # spend on control traffic.
 MAX_REPORTS = 32
+# Delay before the reports that did not fit into a message are sent.
+RESEND_DELAY = 0.5  # seconds
+# Unsent reports that are kept. They are also sent in turn to random nodes.
+MAX_UNSENT_REPORTS = 1024
 
 
 def find_suspect_status(
@@ -188,9 +192,19 @@
     if not core.merge_report(ctx.crash_reports, report, at, time.monotonic()):
         return
     if not ctx.unsent_reports:
-        asyncio.get_running_loop().call_later(SEND_DELAY, _send_unsent, ctx)
-    if len(ctx.unsent_reports) < MAX_REPORTS:
-        ctx.unsent_reports.append((report, at))
+        _schedule_send(ctx, SEND_DELAY)
+    ctx.unsent_reports.append((report, at))
+    if len(ctx.unsent_reports) > MAX_UNSENT_REPORTS:
+        ctx.unsent_reports = core.choose_reports(
+            ctx.crash_reports,
+            ctx.unsent_reports,
+            MAX_UNSENT_REPORTS // 2,
+            time.monotonic(),
+        )
+
+
+def _schedule_send(ctx, delay):
+    asyncio.get_running_loop().call_later(delay, _send_unsent, ctx)
 
 
 def _send_unsent(ctx):
@@ -198,14 +212,18 @@
 
     Relays forward them to nodes of other data centres.
     """
-    reports = tuple(
-        (report, at)
-        for report, at in ctx.unsent_reports
-        if report.kind is core.ReportKind.ANSWERED
-        or core.is_crash_counted(ctx.crash_reports, report)
+    reports = core.choose_reports(
+        ctx.crash_reports,
+        ctx.unsent_reports,
+        MAX_UNSENT_REPORTS,
+        time.monotonic(),
     )
-    ctx.unsent_reports.clear()
+    ctx.unsent_reports = reports[MAX_REPORTS:]
+    if ctx.unsent_reports:
+        _schedule_send(ctx, RESEND_DELAY)
     if not reports:
         return
     for node in core.list_broadcast_targets(ctx.catalogue.nodes, ctx.own):
-        nodes.send_reports(ctx.links, node.address, reports)
+        nodes.send_reports(
+            ctx.links, node.address, tuple(reports[:MAX_REPORTS])
+        )
--- a/citronweir/service/_requests.py
+++ b/citronweir/service/_requests.py
@@ -340,13 +340,19 @@
 
 
 def _start_suspect(request, suspect_status):
-    """Calls one service first, if possible one with a crashed replica."""
+    """Calls one service first, if possible one with a crashed replica.
+
+    All nodes prefer the same one, so that the crashes of repeats add up.
+    """
     serial = request.serial
     serial.awaited = request  # hold all attempts until they are sorted
     for group in request.groups:
         groups.ask_directly(request, group, core.AttemptKind.FIRST)
+    positions = {
+        name: position for position, name in enumerate(suspect_status.services)
+    }
     serial.held.sort(
-        key=lambda item: item[1].service not in suspect_status.services
+        key=lambda item: positions.get(item[1].service, len(positions))
     )
     serial.awaited = None
     attempts.send_held(request)
--- a/fakes/front_fleet.py
+++ b/fakes/front_fleet.py
@@ -130,6 +130,7 @@
     version: int,
     *routes: dict,
     max_conns: int = 26,
+    services: abc.Sequence[str] = SERVICES,
     **fields: object,
 ) -> None:
     """Writes a configuration into the store.
@@ -139,13 +140,14 @@
         version: Version of the configuration.
         *routes: Routes in the form of ``make_route``.
         max_conns: Connections that each replica accepts.
+        services: Services that the routes name.
         **fields: Further fields of the configuration.
     """
     config = {
         'version': version,
         'routes': list(routes),
         'backends': [
-            {'name': name, 'max_conns': max_conns} for name in SERVICES
+            {'name': name, 'max_conns': max_conns} for name in services
         ],
         'limits': {'max_body_bytes': 1000, 'idle_timeout_ms': 15000},
     } | fields
@@ -329,8 +331,9 @@
     replica_suffixes: str = 'ab',
     bypasses_proxies: bool = False,
     bounds: str = '',
+    services: abc.Sequence[str] = SERVICES,
 ) -> abc.AsyncIterator[Fleet]:
-    """Runs two services and some nodes, and waits until they are ready.
+    """Runs services and some nodes, and waits until they are ready.
 
     Args:
         folder: Folder for settings and logs.
@@ -342,6 +345,7 @@
             last letter of its id.
         bypasses_proxies: Whether nodes connect to the replicas directly.
         bounds: Further lines of the bounds in the settings.
+        services: Names of the services.
 
     Yields:
         The running fleet.
@@ -356,14 +360,14 @@
             bypasses_proxies,
             bounds,
         )
-        for number, service in enumerate(SERVICES):
+        for number, service in enumerate(services):
             for suffix in replica_suffixes:
                 records = f'{number:016d}'.encode() * 2
                 await add_replica(
                     fleet, service, f'i-{number}{suffix}', records
                 )
-        routes = routes or [make_route(gather=list(SERVICES), top_k=3)]
-        put_config(fleet.store, 3, *routes)
+        routes = routes or [make_route(gather=list(services), top_k=3)]
+        put_config(fleet.store, 3, *routes, services=services)
         try:
             for name in nodes:
                 await add_node(fleet, name, grace)
--- a/tests/crashing_request_test.py
+++ b/tests/crashing_request_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import dataclasses
 import itertools
 import json
 
@@ -162,6 +163,122 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Form:
+    """How a caller repeats its crashing requests.
+
+    Attributes:
+        shards: Shards that each of them runs at.
+        paths: Different requests, which are sent together.
+        request_id: Id of all repeats, or empty for an own id each.
+        nodes: Nodes that are asked in turn.
+        restarts: Whether a node is killed before every third repeat.
+    """
+
+    shards: int
+    paths: tuple[str, ...] = (f'/a/{POISON}',)
+    request_id: str = ''
+    nodes: tuple[str, ...] = NODES
+    restarts: bool = False
+
+
+FORMS = {
+    '40 shards': Form(40),
+    '40 shards, one node': Form(40, nodes=NODES[:1]),
+    '40 shards, restarts': Form(40, restarts=True),
+    '40 shards, two requests': Form(
+        40, paths=(f'/a/{POISON}/1', f'/a/{POISON}/2')
+    ),
+    '100 shards': Form(100),
+    '135 shards': Form(135),
+}
+
+
+async def _repeat_harmless(fleet):
+    """Repeats a request to the same shards until it is cancelled."""
+    async with aiohttp.ClientSession() as session:
+        for number in itertools.count():
+            name, request_id = NODES[number % len(NODES)], f'i{number}'
+            await _request_status(fleet, session, name, '/i/x', request_id)
+            await asyncio.sleep(REPEAT_PAUSE)
+
+
+async def _repeat_form(fleet, form):
+    """Sends the repeats; returns the late crashes and the last statuses.
+
+    Crashes are late from the first repeat that is sent REPORT_TIME after the
+    third crash of each request.
+    """
+    loop = asyncio.get_running_loop()
+    third_crash_at, before, statuses = None, None, []
+    max_crashes = MAX_CRASHES_BEFORE_REFUSAL * len(form.paths)
+    async with aiohttp.ClientSession() as session:
+        for number in range(REPEATS):
+            if third_crash_at is None and _count_crashes(fleet) >= max_crashes:
+                third_crash_at = loop.time()
+            if (
+                before is None
+                and third_crash_at is not None
+                and loop.time() > third_crash_at + REPORT_TIME
+            ):
+                before = _count_crashes(fleet)
+            name = form.nodes[number % len(form.nodes)]
+            if form.restarts and number % 3 == 2:
+                await _kill(fleet, [name])
+                await _start(fleet, [name])
+            statuses = await asyncio.gather(
+                *(
+                    _request_status(
+                        fleet,
+                        session,
+                        name,
+                        path,
+                        form.request_id or f'p{number}-{path[-1]}',
+                    )
+                    for path in form.paths
+                )
+            )
+            await asyncio.sleep(REPEAT_PAUSE)
+    return _count_crashes(fleet) - before, statuses
+
+
+@pytest.mark.parametrize('form', FORMS.values(), ids=list(FORMS))
+async def test_crashing_request_of_any_form_is_refused(tmp_path, form):
+    """Guards replicas against a request whose crashes fill the reports.
+
+    The first time, a request to many shards crashes a replica of each. The
+    reports of these crashes left no room for those of its repeats. A
+    harmless request to the same shards is served all the same.
+    """
+    services = tuple(f's{number:03}' for number in range(form.shards))
+    fields = {'gather': list(services), 'top_k': 3, 'min_shard_ratio': 0.5}
+    async with fleets.run(
+        tmp_path,
+        NODES,
+        [
+            fleets.make_route(**fields),
+            fleets.make_route(path_prefix='/i/', name='harmless', **fields),
+        ],
+        bypasses_proxies=True,
+        services=services,
+    ) as fleet:
+        for state in _list_states(fleet):
+            state.poison = POISON
+        await asyncio.sleep(DISCOVERY_TIME)
+        harmless = asyncio.create_task(_repeat_harmless(fleet))
+        late_crashes, last_statuses = await _repeat_form(fleet, form)
+        harmless.cancel()
+        await asyncio.gather(harmless, return_exceptions=True)
+        async with aiohttp.ClientSession() as session:
+            harmless_statuses = [
+                await _request_status(fleet, session, name, '/i/x', name)
+                for name in NODES
+            ]
+    assert late_crashes <= MAX_LATE_REPEATS * len(form.paths)
+    assert set(last_statuses) == {503}
+    assert harmless_statuses == [200] * len(NODES)
+
+
 HEAD = b'HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 9\r\n\r\n'
 CRASH_MODES = {
     'slow': {'poison_delay': 0.3},
