Count the crashes of repeats that reuse a request id as several

Replicas went on crashing under a request that its caller repeated under one id and faster than once a second: 11 late crashes over 2 shards, 12 over 40, where 3 are allowed.

Cause: crashes with one id that follow each other within a second count as one repeat, and a conviction needs two.

Ruled out: a shorter chain, which would split the attempts of one request.

Change: each arrival at a node gets a random number, which goes along with group queries and stands in the crash reports in place of the caller's id.

What counts as a repeat no longer depends on what the caller sends.

--- a/citronweir/core/_crash_cause.py
+++ b/citronweir/core/_crash_cause.py
@@ -76,7 +76,8 @@
     """Outcome of a request at a replica, as one node observed it.
 
     Attributes:
-        request_id: Empty for an answer; only the newest answer is kept.
+        request_id: Names one repeat of the request. Empty for an answer; only
+            the newest answer is kept.
         replica_id: Empty for an answer.
     """
 
--- a/citronweir/core/_data.py
+++ b/citronweir/core/_data.py
@@ -16,6 +16,7 @@
 
 ContractId = typing.NewType('ContractId', str)
 RequestId = typing.NewType('RequestId', str)
+ArrivalId = typing.NewType('ArrivalId', int)
 CallerId = typing.NewType('CallerId', str)
 ChangeId = typing.NewType('ChangeId', str)
 NodeId = typing.NewType('NodeId', str)
@@ -1142,6 +1143,8 @@
             forwarded only where the configuration has no tenants.
         credential: What the caller states about its API key.
         identity: Tenant of the request, once its key was found.
+        arrival: Random number of this arrival at a node, 0 if unknown. Repeats
+            of a caller that reuses a request id differ in it.
     """
 
     request_id: RequestId
@@ -1157,6 +1160,7 @@
     identity_headers: tuple[tuple[str, str], ...] = ()
     credential: KeyDigest | InvalidKey | None = None
     identity: Identity | None = None
+    arrival: ArrivalId = ArrivalId(0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/citronweir/nodes/_codec_test.py
+++ b/citronweir/nodes/_codec_test.py
@@ -66,6 +66,7 @@
         (('X-Name', 'v'),),
         b'\xff',
         7.0,
+        arrival=core.ArrivalId(3),
     ),
     103.0,
     107.0,
--- a/citronweir/nodes/_groups.py
+++ b/citronweir/nodes/_groups.py
@@ -51,6 +51,7 @@
         'b': req.body,
         'c': req.caller,
         'k': _encode_identity(req.identity),
+        'n': req.arrival,
         'due': max(0.0, query.due - now),
         'left': max(0.0, query.deadline - now),
         'z': message.accepts_packed,
@@ -82,6 +83,7 @@
         left,
         core.CallerId(records.check_str(fields.get('c', ''))),
         identity=_decode_identity(fields.get('k')),
+        arrival=core.ArrivalId(records.check_uint(fields.get('n', 0))),
     )
     query = core.GroupQuery(
         records.check_uint(fields['v']),
--- a/citronweir/platform/_ingress.py
+++ b/citronweir/platform/_ingress.py
@@ -61,6 +61,7 @@
 _AUTHORIZATION = names.AUTHORIZATION.lower()
 _IDENTITY_HEADERS = frozenset({_AUTHORIZATION, names.TENANT.lower()})
 _MIN_RETRY_AFTER = 0.05  # seconds
+_ARRIVAL_BITS = 63
 # Time after which a request may be sent again that found no memory.
 RETRY_AFTER_NO_MEMORY = 0.5  # seconds
 _OVER_QUOTA_STATUS = 429
@@ -147,8 +148,9 @@
     async def answer_guarded(request):
         conn = _find_connection(ingress, request.transport, rng)
         conn.requests += 1
+        arrival = core.ArrivalId(rng.getrandbits(_ARRIVAL_BITS))
         response = await _handle_request(
-            request, handle, limits(), conn, guards
+            request, handle, limits(), conn, guards, arrival
         )
         if ingress.is_stopping or time.monotonic() >= conn.close_at:
             response.force_close()
@@ -236,7 +238,7 @@
     )
 
 
-async def _handle_request(request, handle, limits, conn, guards):
+async def _handle_request(request, handle, limits, conn, guards, arrival):
     request_id = request.headers.get(names.REQUEST_ID)
     if not request_id:
         return web.Response(status=400)
@@ -250,7 +252,7 @@
             return body
     listeners.mark_body_read(guards, request.protocol)
     return _render_outcome(
-        await handle(_decode_request(request, request_id, body, conn))
+        await handle(_decode_request(request, request_id, body, conn, arrival))
     )
 
 
@@ -285,7 +287,7 @@
     return response
 
 
-def _decode_request(request, request_id, body, conn):
+def _decode_request(request, request_id, body, conn, arrival):
     connection_field = request.headers.get('Connection', '').lower()
     excluded = _EXCLUDED_HEADERS.union(
         part.strip() for part in connection_field.split(',') if part.strip()
@@ -321,6 +323,7 @@
         keys.decode_credential(
             request.headers.getall(names.AUTHORIZATION, [])
         ),
+        arrival=arrival,
     )
 
 
--- a/citronweir/programs/_front_crash_reports.py
+++ b/citronweir/programs/_front_crash_reports.py
@@ -117,7 +117,7 @@
         fingerprint,
         req.caller,
         replica.service,
-        req.request_id,
+        _name_repeat(req),
         replica.replica_id,
     )
     _add_report(ctx, report, lost_at)
@@ -187,6 +187,16 @@
         )
 
 
+def _name_repeat(req):
+    """Returns an id that differs for each repeat and is short.
+
+    A caller may reuse its request ids or send long ones.
+    """
+    if not req.arrival:
+        return req.request_id
+    return core.RequestId(f'{req.arrival:x}')
+
+
 def _add_report(ctx, report, at):
     """Merges a report of this node and sends it to others if they need it."""
     if not core.merge_report(ctx.crash_reports, report, at, time.monotonic()):
--- a/tests/crashing_request_test.py
+++ b/tests/crashing_request_test.py
@@ -183,7 +183,9 @@
 
 
 FORMS = {
+    'reused id': Form(2, request_id='same'),
     '40 shards': Form(40),
+    '40 shards, reused id': Form(40, request_id='same'),
     '40 shards, one node': Form(40, nodes=NODES[:1]),
     '40 shards, restarts': Form(40, restarts=True),
     '40 shards, two requests': Form(
@@ -247,8 +249,9 @@
     """Guards replicas against a request whose crashes fill the reports.
 
     The first time, a request to many shards crashes a replica of each. The
-    reports of these crashes left no room for those of its repeats. A
-    harmless request to the same shards is served all the same.
+    reports of these crashes left no room for those of its repeats. Repeats
+    under one id counted as one request. A harmless request to the same shards
+    is served all the same.
     """
     services = tuple(f's{number:03}' for number in range(form.shards))
     fields = {'gather': list(services), 'top_k': 3, 'min_shard_ratio': 0.5}
