Promise that a request has not run only where the replica states it

Cause: decode_reply took 408, 429 and 503 without the statement that the request has not run for a failure that ran, and the failure was forwarded with its status. To the caller this status is the node's promise. 408 and 429 even counted as usable answers.

Change: such a reply becomes a failure with status 502 and without the signature, where the protocol of the platform is decoded. CW3019 logs it. What a replica states as not run still reaches the caller as 503.

A promise now rests on a statement of the replica alone.

--- a/citronweir/platform/_replicas.py
+++ b/citronweir/platform/_replicas.py
@@ -18,6 +18,11 @@
 _MAX_LOAD = 1 << 20  # requests or slots
 _MAX_SLOWDOWN = 1e6  # percent
 _MISDIRECTED_STATUS = 421
+# Statuses by which a caller is promised that its request has not run and never
+# will. A replica promises that only with a 421 or with the header that says
+# so; with these statuses alone it may have run the request.
+_PROMISES = frozenset({408, 429, 503})
+_BAD_GATEWAY_STATUS = 502
 # Response headers that are forwarded to the caller.
 _FORWARDED_HEADERS = ('content-type', 'retry-after')
 
@@ -68,12 +73,22 @@
 
 
 def decode_reply(raw: upstreams.RawReply) -> core.AttemptOutcome:
-    """Decodes a complete reply into the outcome of the attempt."""
+    """Decodes a complete reply into the outcome of the attempt.
+
+    A failure that callers would take for a promise that the request has not
+    run becomes a 502, which promises nothing.
+    """
     headers = raw.headers
     if raw.status == _MISDIRECTED_STATUS:
         return core.NotRun(core.NotRunReason.MISDIRECTED)
     if _NOT_RUN in headers:
         return core.NotRun(core.NotRunReason.SHED)
+    if raw.status in _PROMISES:
+        # Without the signature, since the status is not the replica's.
+        failure = core.Reply(
+            _BAD_GATEWAY_STATUS, (), b'', '', not raw.is_reusable
+        )
+        return core.Replied(failure)
     signature = headers.get(_SIGNATURE, '')
     is_success = 200 <= raw.status < 300
     if is_success and (not signature or 'content-encoding' in headers):
--- a/citronweir/platform/_replicas_test.py
+++ b/citronweir/platform/_replicas_test.py
@@ -53,6 +53,17 @@
     assert isinstance(_reply(503, {}), core.Replied)
 
 
+@pytest.mark.parametrize('status', [408, 429, 503])
+@pytest.mark.parametrize('headers', [{}, SIGNED])
+def test_status_without_the_statement_promises_nothing(status, headers):
+    """Guards G4: a caller repeats an order after these statuses."""
+    stated = headers | {'x-not-executed': '1'}
+    assert isinstance(_reply(status, stated), core.NotRun)
+    assert _reply(status, headers | {'retry-after': '1'}) == core.Replied(
+        core.Reply(502, (), b'', '')
+    )
+
+
 def test_success_needs_a_signature_and_no_encoding():
     """Guards G3: a body without the replica's signature is not forwarded."""
     assert isinstance(_reply(200, SIGNED), core.Replied)
--- a/citronweir/programs/_front_requests.py
+++ b/citronweir/programs/_front_requests.py
@@ -254,7 +254,10 @@
 
         def decode(raw):
             notices.receive_notice(ctx, replica, platform.decode_notice(raw))
-            return platform.decode_reply(raw)
+            outcome = platform.decode_reply(raw)
+            if isinstance(outcome, core.Replied):
+                _log_replaced(ctx, req, replica, raw.status, outcome.reply)
+            return outcome
 
         exchange = upstreams.Exchange(
             route.rank,
@@ -335,6 +338,22 @@
         )
 
 
+def _log_replaced(ctx, req, replica, status, reply):
+    """Logs that a reply is passed on with another status."""
+    event = telemetry.Event.REPLY_REPLACED
+    if status != reply.status and telemetry.may_log(
+        ctx.log_limits, event, time.monotonic()
+    ):
+        telemetry.log(
+            event,
+            replica=replica.replica_id,
+            service=replica.service,
+            request=req.request_id,
+            status=status,
+            replaced=reply.status,
+        )
+
+
 def make_request_recorder(
     ctx: contexts.FrontContext,
 ) -> abc.Callable[[service.RequestReport], None]:
--- a/citronweir/telemetry/_events.py
+++ b/citronweir/telemetry/_events.py
@@ -198,6 +198,14 @@
         '{detail}',
     )
 
+    REPLY_REPLACED = EventSpec(
+        3019,
+        'INFO',
+        'replica {replica} of {service} answered request {request} with '
+        '{status} without stating that it has not run; the caller gets '
+        '{replaced}',
+    )
+
     EVACUATION_STARTED = EventSpec(
         3017,
         'INFO',
--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -18,12 +18,15 @@
     SHED responds that the request was not executed, CUT omits the last
     byte of the response, EXTRA and LATE_EXTRA send the response twice,
     UNFRAMED sends no Content-Length, GARBAGE sends no HTTP, UNSIGNED omits
-    the signature. The ENDLESS ones send bytes until the caller closes.
+    the signature. The ERROR ones run the request and fail. The ENDLESS ones
+    send bytes until the caller closes.
     """
 
     NONE = 'none'
     SHED = 'shed'
     ERROR = 'error'
+    UNSIGNED_ERROR = 'unsigned_error'
+    CUT_ERROR = 'cut_error'
     SILENT = 'silent'
     RESET = 'reset'
     CUT = 'cut'
@@ -83,6 +86,7 @@
         records: Body of its responses.
         delay: Duration of a request in seconds.
         faults: Faults of the next requests, in order.
+        error_status: Status of a failure.
         seen: Request line, headers and body of each received request.
         seen_at: Monotonic time of each received request in seconds.
         ran: Ids of the requests that it executed.
@@ -108,6 +112,7 @@
     records: bytes = b''
     delay: float = 0.0
     faults: list[Fault] = dataclasses.field(default_factory=list)
+    error_status: int = 500
     seen: list[tuple[str, dict[str, str], bytes]] = dataclasses.field(
         default_factory=list
     )
@@ -247,7 +252,14 @@
                 replica.refusals.append(refusal)
             writer.write(_render(503, notices))
         case Fault.ERROR:
-            writer.write(_render(500, signature_headers))
+            writer.write(_render(replica.error_status, signature_headers))
+        case Fault.UNSIGNED_ERROR:
+            del signature_headers['X-Server-Stamp']
+            writer.write(_render(replica.error_status, signature_headers))
+        case Fault.CUT_ERROR:
+            error = _render(replica.error_status, signature_headers, b'error')
+            writer.write(error[:-1])
+            return False
         case Fault.SILENT:
             await asyncio.sleep(3600)
         case Fault.RESET:
